Run on the users' platform: requests, replicas, peers, configuration

One program on every entry instance. The platform's wire is decoded in platform/ alone; routes, beliefs, the planner of a zone, admission and streams are parts of the product.

--- a/tamarackpier/codes.py
+++ b/tamarackpier/codes.py
@@ -247,6 +247,12 @@
 BODY_TIMEOUT = _define(
     3009, "body_timeout", 408, _LATER, "The body did not arrive in time."
 )
+NO_ROUTE = _define(
+    3010, "no_route", 404, _FIX, "No route in force has this host and path."
+)
+HEAD_TOO_LARGE = _define(
+    3011, "head_too_large", 431, _FIX, "The request's head exceeds the limit."
+)
 ACCOUNT_OVER_SHARE = _define(
     3101, "account_over_share", 429, _LATER, "The account's share is used up."
 )
@@ -270,6 +276,23 @@
     _LATER,
     "This entry instance is leaving; ask for another address.",
 )
+NOT_CONFIGURED = _define(
+    3111,
+    "not_configured",
+    503,
+    _LATER,
+    "This entry instance knows no configuration yet.",
+)
+NO_UPSTREAM = _define(
+    3112, "no_upstream", 503, _LATER, "No engine of the service is known."
+)
+UPSTREAMS_FULL = _define(
+    3113,
+    "upstreams_full",
+    503,
+    _LATER,
+    "Every engine that could run the request is full.",
+)
 QUARANTINED = _define(
     3106,
     "quarantined",
@@ -414,6 +437,21 @@
     5009, "peer_bad_message", 400, Retry.NO, "A peer's message is malformed."
 )
 
+BAD_CONFIGURATION = _define(
+    5010,
+    "bad_configuration",
+    500,
+    _FIX,
+    "The operator's configuration can't be read; the last one stays.",
+)
+TABLE_HISTORY_LOST = _define(
+    5011,
+    "table_history_lost",
+    410,
+    _LATER,
+    "The table no longer has the changes asked for; read it anew.",
+)
+
 COMMAND_UNREACHABLE = _define(
     6001, "command_unreachable", 503, _LATER, "No entry instance answered."
 )
--- /dev/null
+++ b/tamarackpier/daemon/entry_peers.py
@@ -0,0 +1,343 @@
+"""Exchanges between entry instances over gRPC."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import grpc
+from returns import result
+
+from tamarackpier import codes, failures, logs, metrics
+from tamarackpier.daemon import evidence
+from tamarackpier.fleet import beliefs, model
+from tamarackpier.peer import roster as roster_lib
+from tamarackpier.traffic import load, relay
+from tamarackpier.wire import entry_pb2, entry_pb2_grpc
+
+__all__ = ["EntryPeers", "EntryService", "StatusBook"]
+
+_CALL_S = 0.4
+_FETCH_S = 1.0
+_TIMEOUTS_UNTIL_NEW_CHANNEL = 2
+_MOST_RECEIVED_SUSPEND_S = 2.0
+_OPTIONS = (
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 500),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.use_local_subchannel_pool", 1),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Claim:
+    """What a peer last said of itself.
+
+    Attributes:
+        configuration_version: Version that it has in force.
+        planned_zones: Zones that it plans.
+        at: When it said so.
+    """
+
+    configuration_version: int
+    planned_zones: tuple[str, ...]
+    at: float
+
+
+class StatusBook:
+    """Turns what this instance believes into messages, and back.
+
+    Attributes:
+        claims: What peers last said, by id.
+    """
+
+    def __init__(
+        self,
+        roster: roster_lib.Roster,
+        requests: relay.Relay,
+        fleet: beliefs.Fleet,
+        prober: evidence.Prober,
+        version: Callable[[], int],
+        planned_zones: Callable[[], list[str]],
+        clock: Callable[[], float],
+    ) -> None:
+        self.roster = roster
+        self.relay = requests
+        self.fleet = fleet
+        self.prober = prober
+        self.version = version
+        self.planned_zones = planned_zones
+        self.clock = clock
+        self.claims: dict[str, Claim] = {}
+
+    def status(self) -> entry_pb2.EntryStatus:
+        """Returns this instance's state."""
+        now = self.clock()
+        return entry_pb2.EntryStatus(
+            sender=_presence(self.roster.own),
+            others=[_presence(each) for each in self.roster.live(now)],
+            configuration_version=self.version(),
+            replicas=[
+                entry_pb2.ReplicaUsage(
+                    replica=key.replica,
+                    fence=key.fence,
+                    running=max(0, usage.running),
+                    reading_tokens=max(0, usage.reading_tokens),
+                )
+                for key, usage in self.relay.replica_loads.own.items()
+            ],
+            engines=[
+                entry_pb2.EngineUsage(
+                    engine=name, running=max(0, usage.running)
+                )
+                for name, usage in self.relay.engine_loads.own.items()
+            ],
+            suspended=[
+                entry_pb2.Suspended(
+                    replica=each.key.replica,
+                    fence=each.key.fence,
+                    left_ms=max(0, int((each.until - now) * 1e3)),
+                    silent=each.silent,
+                    reason=each.reason,
+                )
+                for each in self.fleet.suspended.values()
+                if each.silent or each.reason
+            ],
+            planned_zones=self.planned_zones(),
+        )
+
+    def take(self, status: entry_pb2.EntryStatus) -> None:
+        """Takes a peer's state."""
+        now = self.clock()
+        sender = status.sender.id
+        self.roster.merge(
+            (_from_presence(each) for each in (status.sender, *status.others)),
+            now,
+        )
+        self.claims[sender] = Claim(
+            status.configuration_version, tuple(status.planned_zones), now
+        )
+        self.relay.replica_loads.peer(
+            sender,
+            {
+                model.Key(each.replica, each.fence): load.Usage(
+                    each.running, each.reading_tokens
+                )
+                for each in status.replicas
+            },
+            now,
+        )
+        self.relay.engine_loads.peer(
+            sender,
+            {each.engine: load.Usage(each.running) for each in status.engines},
+            now,
+        )
+        for each in status.suspended:
+            self._take_suspended(each, sender, now)
+
+    def _take_suspended(
+        self, told: entry_pb2.Suspended, sender: str, now: float
+    ) -> None:
+        key = model.Key(told.replica, told.fence)
+        if key not in self.fleet.replicas():
+            return
+        left_s = min(_MOST_RECEIVED_SUSPEND_S, told.left_ms / 1e3)
+        suspension = beliefs.Suspension(
+            key, now + left_s, tuple(told.silent), told.reason
+        )
+        self.prober.suspend(suspension, f"peer {sender}")
+
+    def claimed_zones(self) -> set[str]:
+        """Returns the zones that live peers plan."""
+        live = {each.id for each in self.roster.live(self.clock())}
+        return {
+            zone
+            for name, claim in self.claims.items()
+            if name in live
+            for zone in claim.planned_zones
+        }
+
+    def ahead(self, version: int) -> str | None:
+        """Returns a live peer with a newer configuration, or None."""
+        live = {each.id for each in self.roster.live(self.clock())}
+        found = [
+            (claim.configuration_version, name)
+            for name, claim in self.claims.items()
+            if name in live and claim.configuration_version > version
+        ]
+        return max(found)[1] if found else None
+
+
+class EntryService(entry_pb2_grpc.EntryServicer):
+    """Answers peers.
+
+    Attributes:
+        book: Makes and takes messages.
+        configuration: Returns the configuration's bytes, as the operator
+            wrote them.
+    """
+
+    def __init__(
+        self, book: StatusBook, configuration: Callable[[], bytes]
+    ) -> None:
+        self.book = book
+        self.configuration = configuration
+
+    async def Exchange(  # noqa: N802
+        self,
+        request: entry_pb2.EntryStatus,
+        context: grpc.aio.ServicerContext,
+    ) -> entry_pb2.EntryStatus:
+        """Takes a peer's state and returns this instance's."""
+        self.book.take(request)
+        return self.book.status()
+
+    async def FetchConfiguration(  # noqa: N802
+        self,
+        request: entry_pb2.FetchConfigurationRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> entry_pb2.FetchConfigurationReply:
+        """Returns the configuration in force, if it is newer."""
+        data = b""
+        if self.book.version() > request.have_version:
+            data = self.configuration()
+        return entry_pb2.FetchConfigurationReply(configuration=data)
+
+
+@dataclasses.dataclass
+class _Link:
+    channel: grpc.aio.Channel
+    stub: entry_pb2_grpc.EntryStub
+    timeouts: int = 0
+    busy: bool = False
+
+
+class EntryPeers:
+    """Calls peers.
+
+    Attributes:
+        book: Makes and takes messages.
+        contacts: Addresses to try while nobody is known.
+        fanout: Most peers that one round exchanges with.
+    """
+
+    def __init__(
+        self,
+        book: StatusBook,
+        contacts: tuple[str, ...],
+        fanout: int,
+        counts: metrics.Metrics,
+        clock: Callable[[], float],
+        shuffle: Callable[[list[tuple[str, str]]], None],
+    ) -> None:
+        self.book = book
+        self.contacts = contacts
+        self.fanout = fanout
+        self.metrics = counts
+        self.clock = clock
+        self.shuffle = shuffle
+        self._links: dict[str, _Link] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def round(self) -> None:
+        """Starts an exchange with each peer, or with some of very many."""
+        own = self.book.roster.own.peer_address
+        known = {
+            each.peer_address: name
+            for name, (each, _) in self.book.roster.others.items()
+        }
+        for address in self.contacts:
+            known.setdefault(address, "")
+        known.pop(own, None)
+        targets = list(known.items())
+        if len(targets) > self.fanout:
+            self.shuffle(targets)
+        for address, name in targets[: self.fanout]:
+            link = self._link(address)
+            if not link.busy:
+                self._start(self._exchange(address, name, link))
+        for address in [each for each in self._links if each not in known]:
+            self._start(self._links.pop(address).channel.close())
+
+    async def fetch(self, name: str) -> result.Result[bytes, codes.Fault]:
+        """Fetches the configuration from a peer."""
+        known = self.book.roster.others.get(name)
+        if known is None:
+            return failures.failure(codes.PEER_UNAVAILABLE, name)
+        link = self._link(known[0].peer_address)
+        request = entry_pb2.FetchConfigurationRequest(
+            have_version=self.book.version()
+        )
+        try:
+            reply = await link.stub.FetchConfiguration(
+                request, timeout=_FETCH_S
+            )
+        except grpc.aio.AioRpcError as error:
+            return failures.failure(
+                codes.PEER_UNAVAILABLE, f"{name}: {error.code().name}"
+            )
+        return result.Success(reply.configuration)
+
+    async def close(self) -> None:
+        """Closes all channels."""
+        for link in self._links.values():
+            await link.channel.close()
+        self._links.clear()
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _link(self, address: str) -> _Link:
+        found = self._links.get(address)
+        if found is None:
+            channel = grpc.aio.insecure_channel(address, options=_OPTIONS)
+            found = _Link(channel, entry_pb2_grpc.EntryStub(channel))
+            self._links[address] = found
+        return found
+
+    async def _exchange(self, address: str, name: str, link: _Link) -> None:
+        link.busy = True
+        try:
+            reply = await link.stub.Exchange(
+                self.book.status(), timeout=_CALL_S
+            )
+            link.timeouts = 0
+            self.book.take(reply)
+        except grpc.aio.AioRpcError as error:
+            self.metrics.count("peer_error", error.code().name)
+            details = (error.details() or "").lower()
+            if name and "refused" in details:
+                self._note_refusal(name)
+            link.timeouts += 1
+            if link.timeouts >= _TIMEOUTS_UNTIL_NEW_CHANNEL:
+                # An open connection that went silent never recovers by itself.
+                self._links.pop(address, None)
+                await link.channel.close()
+        finally:
+            link.busy = False
+
+    def _note_refusal(self, name: str) -> None:
+        roster = self.book.roster
+        if name not in roster.refused:
+            logs.event("peer refuses connections", peer=name)
+        roster.refuse(name, self.clock())
+
+
+def _presence(each: roster_lib.Presence) -> entry_pb2.Presence:
+    return entry_pb2.Presence(**dataclasses.asdict(each))
+
+
+def _from_presence(each: entry_pb2.Presence) -> roster_lib.Presence:
+    return roster_lib.Presence(
+        each.id,
+        each.incarnation,
+        each.beat,
+        each.availability_zone,
+        each.caller_address,
+        each.peer_address,
+        each.is_ready,
+        each.is_leaving,
+    )
--- /dev/null
+++ b/tamarackpier/daemon/evidence.py
@@ -0,0 +1,215 @@
+"""Asks members of replicas whether they are there, when there is doubt."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from returns import pipeline, result
+
+from tamarackpier import codes, failures, logs, metrics
+from tamarackpier.fleet import beliefs, model
+from tamarackpier.traffic import flight
+from tamarackpier.upstream import gateway
+
+__all__ = ["Prober", "Verdict", "judge"]
+
+_TRIES = 3
+_STAGGER_S = 0.05  # An answer takes 5 ms; a lost packet a second.
+_TRY_S = 0.15
+_SUSPEND_S = 3.0  # The platform drops a dead engine's row after 3.6 s.
+_STUCK_S = 1.5  # Silence that is no slowness, though all members answer.
+_RECHECK_SILENT_S = 0.7
+
+
+@dataclasses.dataclass(frozen=True)
+class Verdict:
+    """What a round of questions to a replica's members found.
+
+    Attributes:
+        silent: Members that did not answer.
+        reason: Why the replica can't serve; empty if nothing speaks against.
+        pace: The slowest member's pace.
+    """
+
+    silent: tuple[str, ...]
+    reason: str
+    pace: float
+
+
+Found = result.Result[model.EngineReport, codes.Fault]
+
+
+def judge(replica: model.Replica, found: dict[str, Found]) -> Verdict:
+    """Decides from its members' answers whether a replica can serve."""
+    silent = []
+    reason = ""
+    pace = 1.0
+    for _, member in replica.members:
+        answer = found[member.id]
+        if not pipeline.is_successful(answer):
+            silent.append(member.id)
+            continue
+        report = answer.unwrap()
+        pace = max(pace, report.pace)
+        membership = report.membership
+        if membership is None:
+            reason = f"{member.id} is in no replica"
+        elif membership.key != replica.key:
+            reason = f"{member.id} is in {membership.key.replica}"
+        elif membership.state is model.MemberState.BROKEN:
+            reason = f"{member.id} is broken"
+    if silent:
+        reason = f"{', '.join(silent)} did not answer"
+    return Verdict(tuple(silent), reason, pace)
+
+
+class Prober:
+    """Settles doubts about replicas.
+
+    Attributes:
+        fleet: What is believed; changed by what is found.
+        gateway: Calls engines.
+        flights: Streams, which are moved off replicas that can't serve.
+        on_suspended: Told of each new suspension, to spread it.
+        checking: Replicas that are being asked about.
+    """
+
+    def __init__(
+        self,
+        fleet: beliefs.Fleet,
+        engines: gateway.Gateway,
+        flights: flight.Flights,
+        counts: metrics.Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self.fleet = fleet
+        self.gateway = engines
+        self.flights = flights
+        self.metrics = counts
+        self.clock = clock
+        self.on_suspended: Callable[[beliefs.Suspension], None] = (
+            lambda suspension: None
+        )
+        self.checking: dict[model.Key, asyncio.Task[Verdict | None]] = {}
+        self._rechecked: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def watch(self) -> None:
+        """Starts a round of questions for each replica that is silent."""
+        now = self.clock()
+        for key, silence_s in self.flights.silent(now):
+            self.doubt(key, f"silent for {silence_s:.2f} s too long")
+        for name, since in list(self.fleet.silent.items()):
+            if now - self._rechecked.get(name, since) > _RECHECK_SILENT_S:
+                self._rechecked[name] = now
+                task = asyncio.ensure_future(self._recheck(name))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    def doubt(
+        self, key: model.Key, reason: str
+    ) -> "asyncio.Task[Verdict | None]":
+        """Asks a replica's members; returns the task that does."""
+        found = self.checking.get(key)
+        if found is None:
+            found = asyncio.ensure_future(self._check(key, reason))
+            self.checking[key] = found
+            found.add_done_callback(lambda _: self.checking.pop(key, None))
+        return found
+
+    def suspend(self, suspension: beliefs.Suspension, source: str) -> bool:
+        """Takes a suspension; moves streams if it is news."""
+        if not self.fleet.suspend(suspension):
+            return False
+        moved = self.flights.interrupt(suspension.key, suspension.reason)
+        self.metrics.count("suspended", source)
+        logs.event(
+            "replica suspended",
+            replica=suspension.key.replica,
+            fence=suspension.key.fence,
+            reason=suspension.reason,
+            source=source,
+            streams_moved=moved,
+        )
+        return True
+
+    async def _check(self, key: model.Key, reason: str) -> Verdict | None:
+        replica = self.fleet.replicas().get(key)
+        now = self.clock()
+        self.flights.checked[key] = now
+        if replica is None:
+            self.flights.interrupt(key, "the replica is gone")
+            return None
+        self.metrics.count("doubt")
+        names = [member.id for _, member in replica.members]
+        answers = await asyncio.gather(
+            *(self._ask(member) for _, member in replica.members)
+        )
+        verdict = judge(replica, dict(zip(names, answers, strict=True)))
+        now = self.clock()
+        self.flights.checked[key] = now
+        if not replica.is_complete and not verdict.reason:
+            verdict = dataclasses.replace(verdict, reason="a member is gone")
+        if not verdict.reason and self._is_stuck(key, verdict, now):
+            verdict = dataclasses.replace(verdict, reason="nothing moves")
+        for name in verdict.silent:
+            self.fleet.silent.setdefault(name, now)
+        logs.event(
+            "replica asked",
+            replica=key.replica,
+            fence=key.fence,
+            why=reason,
+            found=verdict.reason or "all well",
+            pace=verdict.pace,
+        )
+        if verdict.reason:
+            suspension = beliefs.Suspension(
+                key, now + _SUSPEND_S, verdict.silent, verdict.reason
+            )
+            if self.suspend(suspension, "asked"):
+                self.on_suspended(suspension)
+        return verdict
+
+    def _is_stuck(self, key: model.Key, verdict: Verdict, now: float) -> bool:
+        waiting = [
+            each.waiting_since
+            for each in self.flights.by_key.get(key, ())
+            if each.waiting_since is not None
+        ]
+        if not waiting:
+            return False
+        since = max(min(waiting), self.flights.progress.get(key, 0.0))
+        return now - since > _STUCK_S * max(1.0, verdict.pace)
+
+    async def _ask(self, engine: model.EngineRecord) -> Found:
+        """Asks one engine, again and again without waiting for lost packets."""
+        tasks = [
+            asyncio.ensure_future(self._try(engine, index * _STAGGER_S))
+            for index in range(_TRIES)
+        ]
+        found: Found = failures.failure(codes.UPSTREAM_UNREACHABLE, engine.id)
+        try:
+            for task in asyncio.as_completed(tasks):
+                found = await task
+                if pipeline.is_successful(found):
+                    break
+        finally:
+            for each in tasks:
+                each.cancel()
+        return found
+
+    async def _try(self, engine: model.EngineRecord, delay_s: float) -> Found:
+        await asyncio.sleep(delay_s)
+        return await self.gateway.report(engine, _TRY_S)
+
+    async def _recheck(self, name: str) -> None:
+        engine = self.fleet.engines.get(name)
+        if engine is None:
+            self.fleet.silent.pop(name, None)
+            self._rechecked.pop(name, None)
+            return
+        found = await self.gateway.report(engine, _TRY_S)
+        if pipeline.is_successful(found):
+            self.fleet.silent.pop(name, None)
+            self._rechecked.pop(name, None)
+            logs.event("engine answers again", engine=name)
--- /dev/null
+++ b/tamarackpier/daemon/serving.py
@@ -0,0 +1,217 @@
+"""HTTP servers of a hosted instance: uvicorn's protocol on our own sockets.
+
+uvicorn's own server closes kept connections as soon as a stop is asked for and
+has no bound on the head of a request. Here the daemon decides when listeners
+and connections end.
+"""
+
+import asyncio
+import logging as std_logging
+from collections.abc import Callable
+from typing import Any
+
+import uvicorn
+from uvicorn import server as uvicorn_server
+from uvicorn.protocols.http import httptools_impl
+
+from tamarackpier import codes
+from tamarackpier.daemon import http
+from tamarackpier.upstream import gateway
+
+__all__ = ["AsgiCaller", "HttpListener"]
+
+_BACKLOG = 2048
+_HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"connection: close\r\ncontent-length: 0\r\n\r\n"
+)
+TARGET_KEY = "target"
+
+
+class _Protocol(httptools_impl.HttpToolsProtocol):
+    """Keeps the request's target as it was sent, and bounds its head."""
+
+    head_bytes = 0
+    most_head_bytes = 1 << 16
+    is_in_body = False
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        super().connection_made(transport)
+        # A connection that never sends a request ends like an idle one.
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
+    def data_received(self, data: bytes) -> None:
+        if not self.is_in_body:
+            self.head_bytes += len(data)
+        super().data_received(data)
+        is_reading_head = not self.is_in_body and self.head_bytes > 0
+        if is_reading_head and self.head_bytes > self.most_head_bytes:
+            self.transport.write(_HEAD_TOO_LARGE)
+            self.transport.close()
+
+    def on_headers_complete(self) -> None:
+        self.is_in_body = True
+        self.scope["state"][TARGET_KEY] = self.url
+        super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        self.is_in_body = False
+        self.head_bytes = 0
+        super().on_message_complete()
+
+
+class HttpListener:
+    """One listening address.
+
+    Attributes:
+        config: uvicorn's settings.
+        state: Open connections and running requests.
+        server: The socket; None before it listens and after it closed.
+    """
+
+    def __init__(self, app: Any, address: str, idle_timeout_s: float) -> None:
+        self.host, _, port = address.rpartition(":")
+        self.port = int(port)
+        self.config = uvicorn.Config(
+            app,
+            http=_Protocol,
+            ws="none",
+            loop="asyncio",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            proxy_headers=False,
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=idle_timeout_s,  # type: ignore[arg-type]
+        )
+        self.config.load()
+        self.state = uvicorn_server.ServerState()
+        self.server: asyncio.Server | None = None
+        # Broken answers are logged where they are decided.
+        std_logging.getLogger("uvicorn.error").setLevel(std_logging.CRITICAL)
+
+    async def listen(self) -> None:
+        """Opens the socket."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            self._protocol, self.host.strip("[]"), self.port, backlog=_BACKLOG
+        )
+
+    def use_limits(self, head_bytes: int, idle_timeout_s: float) -> None:
+        """Takes limits into force for new connections."""
+        _Protocol.most_head_bytes = head_bytes
+        self.config.timeout_keep_alive = idle_timeout_s  # type: ignore[assignment]
+
+    def close(self) -> None:
+        """Stops listening; open connections stay."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    def close_idle(self) -> None:
+        """Ends connections once what runs on them has ended."""
+        for each in list(self.state.connections):
+            each.shutdown()  # type: ignore[union-attr]
+
+    def _protocol(self) -> asyncio.Protocol:
+        return _Protocol(self.config, self.state, {})
+
+
+class AsgiCaller:
+    """A caller behind an ASGI server.
+
+    Attributes:
+        is_started: Whether the head of an answer was sent.
+        is_ended: Whether the answer is whole.
+        was_read: Set when the whole request has arrived.
+        status: Status that was sent; 0 before.
+    """
+
+    def __init__(
+        self,
+        scope: http.Scope,
+        receive: http.Receive,
+        send: http.Send,
+        closes: Callable[[], bool],
+    ) -> None:
+        self.scope = scope
+        self.receive = receive
+        self.send = send
+        self.closes = closes
+        self.is_started = False
+        self.is_ended = False
+        self.was_read = asyncio.Event()
+        self.status = 0
+
+    async def body(self, most_bytes: int, timeout_s: float) -> bytes:
+        """Returns the whole body."""
+        length = dict(self.scope["headers"]).get(b"content-length", b"0")
+        if length.isdigit() and int(length) > most_bytes:
+            raise _too_large(most_bytes)
+        parts = []
+        size = 0
+        try:
+            async with asyncio.timeout(timeout_s):
+                while True:
+                    message = await self.receive()
+                    if message["type"] == "http.disconnect":
+                        raise asyncio.CancelledError
+                    parts.append(message["body"])
+                    size += len(message["body"])
+                    if size > most_bytes:
+                        raise _too_large(most_bytes)
+                    if not message["more_body"]:
+                        break
+        except TimeoutError:
+            fault = codes.fault(codes.BODY_TIMEOUT, f"waited {timeout_s} s")
+            raise http.FaultError(fault) from None
+        self.was_read.set()
+        return b"".join(parts)
+
+    async def gone(self) -> None:
+        """Returns when the caller has gone; the body must have been read."""
+        while True:
+            message = await self.receive()
+            if message["type"] == "http.disconnect":
+                return
+
+    async def start(self, status: int, headers: gateway.Headers) -> None:
+        """Sends the head."""
+        self.is_started = True
+        self.status = status
+        found = list(headers)
+        if self.closes() or not self.was_read.is_set():
+            found.append((b"connection", b"close"))
+        await self.send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": found,
+            }
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        if data:
+            await self.send(
+                {"type": "http.response.body", "body": data, "more_body": True}
+            )
+
+    async def end(self) -> None:
+        """Marks the answer as whole."""
+        self.is_ended = True
+        await self.send(
+            {"type": "http.response.body", "body": b"", "more_body": False}
+        )
+
+
+def _too_large(most_bytes: int) -> http.FaultError:
+    fault = codes.fault(
+        codes.BODY_TOO_LARGE, f"the limit is {most_bytes} bytes"
+    )
+    return http.FaultError(fault)
--- /dev/null
+++ b/tamarackpier/fleet/beliefs.py
@@ -0,0 +1,177 @@
+"""What this instance holds to be true of engines and replicas."""
+
+import collections
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from tamarackpier.fleet import model
+from tamarackpier.routing import model as routing_model
+
+__all__ = ["Fleet", "Suspension"]
+
+RETURN_GRACE_S = 2.5  # The users' request: entries are back within 2 s.
+_MOST_SUSPENSIONS = 4096
+
+
+@dataclasses.dataclass(frozen=True)
+class Suspension:
+    """Says that a replica gets no requests for a while.
+
+    Attributes:
+        key: The replica.
+        until: End on the monotonic clock.
+        silent: Members that did not answer.
+        reason: Why, for the log.
+    """
+
+    key: model.Key
+    until: float
+    silent: tuple[str, ...]
+    reason: str
+
+
+class Fleet:
+    """Engines by their rows, and evidence that goes before the rows.
+
+    Attributes:
+        engines: Known engines by id.
+        lapsed: Engines whose row went while the store was not to be trusted,
+            with when they count as gone.
+        suspended: Replicas that stopped moving.
+        silent: Engines that did not answer when asked, with since when.
+        span_of: Span by service and model.
+        trusted_from: When a missing row means that the engine is gone.
+    """
+
+    def __init__(self) -> None:
+        self.engines: dict[str, model.EngineRecord] = {}
+        self.lapsed: dict[str, float] = {}
+        self.suspended: dict[model.Key, Suspension] = {}
+        self.silent: dict[str, float] = {}
+        self.span_of: dict[tuple[str, str], int] = {}
+        self.trusted_from = 0.0
+        self._replicas: dict[model.Key, model.Replica] | None = None
+        self._by_service: dict[str, list[model.EngineRecord]] | None = None
+
+    def use_services(
+        self, services: Mapping[str, routing_model.ServiceSpec]
+    ) -> None:
+        """Takes the spans of models from a configuration."""
+        self.span_of = {
+            (service.name, each.name): each.span
+            for service in services.values()
+            if service.engine is not None
+            for each in service.engine.models
+        }
+        self._forget_views()
+
+    def store_returned(self, now: float) -> None:
+        """Notes that the store answers again after it did not."""
+        self.trusted_from = now + RETURN_GRACE_S
+
+    def put(self, record: model.EngineRecord) -> None:
+        """Takes an engine's row, unless it tells of an earlier life."""
+        known = self.engines.get(record.id)
+        if known is not None and record.incarnation < known.incarnation:
+            return
+        if known is not None and record.incarnation > known.incarnation:
+            self.silent.pop(record.id, None)
+        self.lapsed.pop(record.id, None)
+        self.engines[record.id] = record
+        self._forget_views()
+
+    def remove(self, engine_id: str, now: float) -> None:
+        """Notes that an engine's row is gone."""
+        if engine_id not in self.engines:
+            return
+        if now < self.trusted_from:
+            self.lapsed.setdefault(engine_id, self.trusted_from)
+            return
+        self._drop(engine_id)
+
+    def replace(
+        self, records: Iterable[model.EngineRecord], now: float
+    ) -> None:
+        """Takes all rows at once; engines without one are gone."""
+        present = set()
+        for record in records:
+            present.add(record.id)
+            self.put(record)
+        for engine_id in [each for each in self.engines if each not in present]:
+            self.remove(engine_id, now)
+
+    def expire(self, now: float) -> list[str]:
+        """Ends what has had its time; returns engines that are now gone."""
+        gone = [each for each, at in self.lapsed.items() if at <= now]
+        for engine_id in gone:
+            self._drop(engine_id)
+        ended = [
+            key for key, each in self.suspended.items() if each.until <= now
+        ]
+        for key in ended:
+            del self.suspended[key]
+        return gone
+
+    def suspend(self, suspension: Suspension) -> bool:
+        """Keeps requests from a replica; returns whether that is news."""
+        known = self.suspended.get(suspension.key)
+        if known is not None and known.until >= suspension.until:
+            return False
+        if known is None and len(self.suspended) >= _MOST_SUSPENSIONS:
+            return False
+        self.suspended[suspension.key] = suspension
+        return known is None
+
+    def replicas(self) -> Mapping[model.Key, model.Replica]:
+        """Returns all replicas that any engine names."""
+        if self._replicas is None:
+            self._replicas = self._assemble()
+        return self._replicas
+
+    def serving(self, service: str, name: str) -> list[model.Replica]:
+        """Returns the replicas of a model that requests may go to."""
+        return [
+            each
+            for each in self.replicas().values()
+            if each.model == name
+            and each.is_open
+            and each.key not in self.suspended
+            and each.lead is not None
+            and each.lead.service == service
+            and not any(member.id in self.silent for _, member in each.members)
+        ]
+
+    def of_service(self, service: str) -> list[model.EngineRecord]:
+        """Returns a service's engines that are not leaving."""
+        if self._by_service is None:
+            found = collections.defaultdict(list)
+            for each in self.engines.values():
+                if not each.is_leaving:
+                    found[each.service].append(each)
+            self._by_service = found
+        return self._by_service.get(service, [])
+
+    def _assemble(self) -> dict[model.Key, model.Replica]:
+        members: dict[model.Key, dict[int, model.EngineRecord]] = {}
+        for each in self.engines.values():
+            if each.membership is not None:
+                ranks = members.setdefault(each.membership.key, {})
+                ranks[each.membership.rank] = each
+        found = {}
+        for key, ranks in members.items():
+            first = ranks[min(ranks)]
+            span = self.span_of.get((first.service, first.model), 0)
+            found[key] = model.Replica(
+                key, first.model, span, tuple(sorted(ranks.items()))
+            )
+        return found
+
+    def _drop(self, engine_id: str) -> None:
+        self.engines.pop(engine_id, None)
+        self.lapsed.pop(engine_id, None)
+        self.silent.pop(engine_id, None)
+        self._forget_views()
+
+    def _forget_views(self) -> None:
+        self._replicas = None
+        self._by_service = None
--- /dev/null
+++ b/tamarackpier/ini.py
@@ -0,0 +1,184 @@
+"""Reads INI files into frozen dataclasses, and reports all faults at once.
+
+The type of a field decides how its text is read, and its metadata bounds the
+value. Each fault names file, section and key.
+"""
+
+import configparser
+import dataclasses
+import pathlib
+import re
+import typing
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from returns import result
+
+from tamarackpier import codes
+
+__all__ = ["ADDRESS", "NAME", "Reader", "key", "parse", "read_text"]
+
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+ADDRESS = re.compile(r"[0-9.]+:[0-9]{1,5}|\[[0-9a-fA-F:]+\]:[0-9]{1,5}")
+_REQUIRED: Any = dataclasses.MISSING
+Faults = tuple[codes.Fault, ...]
+
+
+def key(
+    default: Any = _REQUIRED,
+    low: float | None = None,
+    high: float | None = None,
+    pattern: re.Pattern[str] | None = None,
+    one_of: tuple[str, ...] = (),
+    may_be_empty: bool = False,
+) -> Any:
+    """Returns a field with the bounds of its value."""
+    metadata = {
+        "low": low,
+        "high": high,
+        "pattern": pattern,
+        "one_of": one_of,
+        "may_be_empty": may_be_empty,
+    }
+    return dataclasses.field(default=default, metadata=metadata)
+
+
+_READERS: dict[Any, Callable[[str], Any]] = {
+    int: int,
+    float: float,
+    str: str,
+    tuple[str, ...]: lambda text: tuple(
+        part.strip() for part in text.split(",") if part.strip()
+    ),
+}
+
+
+def read_text(path: pathlib.Path) -> result.Result[str, Faults]:
+    """Returns a file's text."""
+    try:
+        return result.Success(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        fault = codes.fault(codes.SETTINGS_UNREADABLE, str(error), str(path))
+        return result.Failure((fault,))
+
+
+def parse(text: str, source: str) -> result.Result["Reader", Faults]:
+    """Returns a reader of an INI text.
+
+    Args:
+        text: The text.
+        source: What to call it in faults.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        detail = " ".join(str(error).split())
+        fault = codes.fault(codes.SETTINGS_SYNTAX, detail, source)
+        return result.Failure((fault,))
+    return result.Success(Reader(parser, source))
+
+
+class Reader:
+    """Collects the values and the faults of one file.
+
+    Attributes:
+        parser: The parsed file.
+        source: What to call it in faults.
+        faults: What was found wrong so far.
+    """
+
+    def __init__(self, parser: configparser.ConfigParser, source: str) -> None:
+        self.parser = parser
+        self.source = source
+        self.faults: list[codes.Fault] = []
+
+    def check_sections(
+        self, is_known: Callable[[str], bool], known: Iterable[str]
+    ) -> None:
+        """Reports the sections that nothing reads."""
+        for section in self.parser.sections():
+            if not is_known(section):
+                self.fault(
+                    codes.SETTINGS_UNKNOWN_SECTION,
+                    f"known sections are {', '.join(known)}",
+                    section,
+                )
+
+    def section(self, section: str, kind: type) -> Any:
+        """Returns a section as an instance of a dataclass."""
+        present = (
+            dict(self.parser.items(section))
+            if self.parser.has_section(section)
+            else {}
+        )
+        fields = {field.name: field for field in dataclasses.fields(kind)}
+        for key in present:
+            if key not in fields:
+                known = ", ".join(fields)
+                self.fault(
+                    codes.SETTINGS_UNKNOWN_KEY,
+                    f"known keys are {known}",
+                    section,
+                    key,
+                )
+        types = typing.get_type_hints(kind)
+        values = {}
+        for name, field in fields.items():
+            if name in present:
+                values[name] = self._value(
+                    section, field, types[name], present[name]
+                )
+            elif field.default is dataclasses.MISSING:
+                self.fault(
+                    codes.SETTINGS_MISSING_KEY,
+                    "it has no default",
+                    section,
+                    name,
+                )
+                values[name] = None
+        return kind(**values)
+
+    def _value(
+        self,
+        section: str,
+        field: dataclasses.Field[Any],
+        kind: Any,
+        text: str,
+    ) -> Any:
+        try:
+            value = _READERS[kind](text)
+        except ValueError:
+            expected = f"expected {kind.__name__}, found {text!r}"
+            self._bad(section, field, expected)
+            return None
+        problem = _problem(value, field.metadata)
+        if problem:
+            self._bad(section, field, f"{problem}, found {text!r}")
+        return value
+
+    def _bad(
+        self, section: str, field: dataclasses.Field[Any], detail: str
+    ) -> None:
+        self.fault(codes.SETTINGS_BAD_VALUE, detail, section, field.name)
+
+    def fault(
+        self, code: codes.ResultCode, detail: str, section: str, key: str = ""
+    ) -> None:
+        """Notes a fault."""
+        where = f"{self.source} [{section}] {key}".rstrip()
+        self.faults.append(codes.fault(code, detail, where))
+
+
+def _problem(value: Any, metadata: Any) -> str:
+    low, high = metadata["low"], metadata["high"]
+    if low is not None and not low <= value <= high:
+        return f"expected {low} to {high}"
+    if metadata["one_of"] and value not in metadata["one_of"]:
+        return f"expected one of {', '.join(metadata['one_of'])}"
+    pattern = metadata["pattern"]
+    if pattern is not None and not pattern.fullmatch(value):
+        return f"expected the form {pattern.pattern}"
+    if value == () and not metadata["may_be_empty"]:
+        return "expected at least one entry"
+    return ""
--- a/tamarackpier/metrics.py
+++ b/tamarackpier/metrics.py
@@ -38,11 +38,13 @@
 
     Attributes:
         counters: Counts by name; a reason is part of the name, after a colon.
+        gauges: What is so now, by name.
         histograms: Latency histograms by name, in microseconds.
     """
 
     def __init__(self) -> None:
         self.counters: collections.Counter[str] = collections.Counter()
+        self.gauges: dict[str, float] = {}
         self.histograms: dict[str, histogram.HdrHistogram] = {}
 
     def count(self, name: str, reason: str = "", amount: int = 1) -> None:
@@ -60,6 +62,34 @@
         value = int(seconds * _US_PER_S)
         found.record_value(min(max(value, _LOWEST_US), _HIGHEST_US))
 
+    def gauge(self, name: str, value: float) -> None:
+        """Sets what is so now."""
+        self.gauges[name] = value
+
+    def text(self) -> str:
+        """Returns all values in the usual text format."""
+        lines = []
+        for name, amount in sorted(self.counters.items()):
+            base, _, reason = name.partition(":")
+            label = f'{{reason="{reason}"}}' if reason else ""
+            lines.append(f"tamarackpier_{base}_total{label} {amount}")
+        for name, value in sorted(self.gauges.items()):
+            lines.append(f"tamarackpier_{name} {value}")
+        for name in sorted(self.histograms):
+            found = self.quantiles(name)
+            if found is None:
+                continue
+            base = f"tamarackpier_{name}_seconds"
+            for label, seconds in (
+                ("0.5", found.p50_s),
+                ("0.95", found.p95_s),
+                ("0.99", found.p99_s),
+                ("1", found.max_s),
+            ):
+                lines.append(f'{base}{{quantile="{label}"}} {seconds:.6f}')
+            lines.append(f"{base}_count {found.count}")
+        return "\n".join(lines) + "\n"
+
     def quantiles(self, name: str) -> Quantiles | None:
         """Returns the summary of one histogram, or None if it is empty."""
         found = self.histograms.get(name)
--- a/tamarackpier/platform/interfaces.py
+++ b/tamarackpier/platform/interfaces.py
@@ -9,6 +9,8 @@
 from tamarackpier import codes
 
 __all__ = [
+    "Change",
+    "Changes",
     "Check",
     "InstanceKind",
     "InstanceList",
@@ -17,6 +19,7 @@
     "Row",
     "Table",
     "Transaction",
+    "Watch",
     "Write",
 ]
 
@@ -85,6 +88,49 @@
         """
 
 
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """A row as a watch saw it.
+
+    Attributes:
+        key: The row's key.
+        version: Its version.
+        data: Its bytes; None when the row was removed.
+    """
+
+    key: str
+    version: int
+    data: bytes | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Changes:
+    """Rows of one table, up to a version.
+
+    Attributes:
+        rows: The rows, oldest change first.
+        version: Where to go on.
+    """
+
+    rows: tuple[Change, ...]
+    version: int
+
+
+class Watch(Protocol):
+    """Rows of a table that others write, as they change."""
+
+    async def snapshot(self, table: str) -> result.Result[Changes, codes.Fault]:
+        """Returns all rows of a table."""
+
+    async def changes(
+        self, table: str, after: int, wait_s: float
+    ) -> result.Result[Changes, codes.Fault]:
+        """Returns what changed after a version, waiting for a first change.
+
+        `TABLE_HISTORY_LOST` asks for a new snapshot.
+        """
+
+
 class Objects(Protocol):
     """The object store."""
 
--- a/tamarackpier/replica/lease.py
+++ b/tamarackpier/replica/lease.py
@@ -25,6 +25,7 @@
     "observe",
     "release",
     "settled",
+    "take_over",
 ]
 
 CLOCK_RATE_ERROR = 0.01
@@ -142,12 +143,20 @@
         return Step(StepKind.READ)
     if now - watch.unchanged_since < _patience(watch) + eagerness_s:
         return Step(StepKind.READ)
-    number = _number(watch.row) + 1
+    return take_over(watch, holder, duration_s, now)
+
+
+def take_over(watch: Watch, holder: str, duration_s: float, now: float) -> Step:
+    """Returns the step that takes a lease over, whoever has it.
+
+    It is safe only once the holder's time is over, or its process is known
+    to have ended.
+    """
     return _write(
         StepKind.ACQUIRE,
         watch.key,
         holder,
-        number,
+        _number(watch.row) + 1,
         duration_s,
         watch.row.version,
         now,
--- /dev/null
+++ b/tamarackpier/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration in force, and where a request goes by it."""
--- /dev/null
+++ b/tamarackpier/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Requests from their arrival to their end."""
