--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -327,6 +327,7 @@
                 self.roster,
                 lambda: self.configuration.routing,
                 lambda: len(self.keepers),
+                lambda: self.relay.running_by_model(),
                 self.metrics,
                 self.clock,
             )
--- a/tamarackpier/daemon/zones.py
+++ b/tamarackpier/daemon/zones.py
@@ -1,7 +1,7 @@
 """Contends for zones and carries out what their planners decide."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from returns import pipeline
 
@@ -43,6 +43,7 @@
         roster: roster_lib.Roster,
         routing: Callable[[], table.Routing | None],
         zone_count: Callable[[], int],
+        running: Callable[[], Mapping[str, int]],
         counts: metrics.Metrics,
         clock: Callable[[], float],
     ) -> None:
@@ -55,6 +56,7 @@
         self.roster = roster
         self.routing = routing
         self.zone_count = zone_count
+        self.running = running
         self.metrics = counts
         self.clock = clock
         own = roster.own
@@ -63,6 +65,7 @@
         self.planners: dict[str, form.ZonePlanner] = {}
         self.is_stopping = False
         self._watch: lease.Watch | None = None
+        self._summaries: dict[str, dict[str, object]] = {}
         self._contend_at = 0.0
         self._absent_since: float | None = None
         self._lease_task: asyncio.Task[None] | None = None
@@ -113,7 +116,12 @@
                 self.planners[service.name] = planner
             planner.spec = service.engine
             planner.planner_count = max(1, self.zone_count())
-            for order in planner.tick(self.fleet, now):
+            orders = planner.tick(self.fleet, self.running(), now)
+            summary = planner.summary(self.fleet)
+            if summary != self._summaries.get(service.name):
+                self._summaries[service.name] = summary
+                logs.event("zone", zone=self.zone, **summary)
+            for order in orders:
                 task = asyncio.ensure_future(self._carry_out(planner, order))
                 self._orders.add(task)
                 task.add_done_callback(self._orders.discard)
--- a/tamarackpier/fleet/form.py
+++ b/tamarackpier/fleet/form.py
@@ -15,6 +15,11 @@
 
 __all__ = ["FormTiming", "ZonePlanner"]
 
+_RESERVE = 2  # Free engines that a domain keeps while the load is covered.
+_HEADROOM = 1.8  # Slots for each running request; full replicas are slow.
+_LEAST_SHARE_OF_REPLICAS = 4.0  # Replicas to have while nothing runs yet.
+_PEAK_HALF_LIFE_S = 10.0
+
 
 @dataclasses.dataclass(frozen=True)
 class FormTiming:
@@ -82,6 +87,7 @@
         retiring: Replicas that are taken back, by key.
         staging: Engines that load weights, with the model and since when.
         confirmed: Replicas whose silence this planner has confirmed.
+        peaks: Highest number of requests by model, fading.
     """
 
     def __init__(
@@ -106,13 +112,27 @@
         self.retiring: dict[model.Key, _Retiring] = {}
         self.staging: dict[str, tuple[str, float]] = {}
         self.confirmed: set[model.Key] = set()
+        self.peaks: dict[str, float] = {}
+        self._peaks_at = now
         self._released: dict[str, model.Key] = {}
         self._incomplete_since: dict[model.Key, float] = {}
         self._load_tokens = self._most_load_tokens()
         self._tokens_at = now
 
-    def tick(self, fleet: beliefs.Fleet, now: float) -> list[model.Order]:
-        """Returns the orders to send now."""
+    def tick(
+        self,
+        fleet: beliefs.Fleet,
+        running: Mapping[str, int],
+        now: float,
+    ) -> list[model.Order]:
+        """Returns the orders to send now.
+
+        Args:
+            fleet: What is known of engines.
+            running: Requests that run, by model, over all instances.
+            now: The monotonic clock.
+        """
+        self._note_load(running, now)
         self._refill(now)
         orders: list[model.Order] = []
         mine = self._own_replicas(fleet)
@@ -124,11 +144,29 @@
             orders += self._advance(forming, fleet, now)
         free = self._free(fleet)
         for domain in sorted(free):
-            orders += self._form(free[domain], mine, fleet, now)
+            orders += self._form(free[domain], fleet, now)
         for domain in sorted(free):
-            orders += self._stage(free[domain], mine, fleet, now)
+            orders += self._stage(domain, free[domain], mine, fleet, now)
         return orders
 
+    def summary(self, fleet: beliefs.Fleet) -> dict[str, object]:
+        """Returns what the zone has, for the log."""
+        serving: collections.Counter[str] = collections.Counter()
+        for key, replica in self._own_replicas(fleet).items():
+            if replica.is_open and key not in self.retiring:
+                serving[replica.model] += 1
+        free = self._free(fleet)
+        return {
+            "serving": dict(serving),
+            "forming": [each.spec.name for each in self.forming.values()],
+            "retiring": [each.reason for each in self.retiring.values()],
+            "free": {
+                domain: [each.staged[-1] if each.staged else "" for each in own]
+                for domain, own in sorted(free.items())
+            },
+            "silent": len(fleet.silent),
+        }
+
     def settle(
         self, order: model.Order, outcome: model.OrderOutcome, now: float
     ) -> None:
@@ -445,13 +483,12 @@
     def _form(
         self,
         free: list[model.EngineRecord],
-        mine: Mapping[model.Key, model.Replica],
         fleet: beliefs.Fleet,
         now: float,
     ) -> list[model.Order]:
         orders: list[model.Order] = []
         while True:
-            chosen = self._choose(free, mine, fleet)
+            chosen = self._choose(free, fleet)
             if chosen is None:
                 return orders
             spec, engines, loads = chosen
@@ -479,46 +516,60 @@
             orders += self._advance(forming, fleet, now)
 
     def _choose(
-        self,
-        free: list[model.EngineRecord],
-        mine: Mapping[model.Key, model.Replica],
-        fleet: beliefs.Fleet,
+        self, free: list[model.EngineRecord], fleet: beliefs.Fleet
     ) -> tuple[routing_model.ModelSpec, list[model.EngineRecord], int] | None:
         """Returns the model to form next and its engines, lead first."""
-        is_cold = not any(each.staged for each in free) and not self.staging
-        for spec in self._wanted(mine):
+        is_cold = not any(
+            each.staged or each.id in self.staging for each in free
+        )
+        for spec in self._wanted(fleet):
             ranked = sorted(
                 free, key=lambda each: (_readiness(each, spec.name), each.id)
             )[: spec.span]
             if len(ranked) < spec.span:
                 continue
+            is_short = self._coverage(spec, fleet) < 1
+            if len(free) - spec.span < _RESERVE and not is_short:
+                continue
             loads = sum(1 for each in ranked if spec.name not in each.staged)
-            if loads and not (is_cold and self._may_load_cold()):
+            if loads and not (is_cold and not self._cold_joins()):
                 continue
             return spec, ranked, loads
         return None
 
-    def _wanted(
-        self, mine: Mapping[model.Key, model.Replica]
-    ) -> list[routing_model.ModelSpec]:
+    def _coverage(
+        self, spec: routing_model.ModelSpec, fleet: beliefs.Fleet
+    ) -> float:
+        """Returns a model's replicas over those that its load needs."""
+        count = sum(
+            1
+            for key, replica in fleet.replicas().items()
+            if replica.model == spec.name
+            and replica.is_whole
+            and key not in self.retiring
+            and key not in self.forming
+            and key not in fleet.suspended
+        )
+        count += sum(
+            1 for each in self.forming.values() if each.spec.name == spec.name
+        )
+        running = self.peaks.get(spec.name, 0.0)
+        needed = max(
+            _LEAST_SHARE_OF_REPLICAS * spec.share,
+            _HEADROOM * running / max(1, self.spec.slots),
+        )
+        return count / needed
+
+    def _wanted(self, fleet: beliefs.Fleet) -> list[routing_model.ModelSpec]:
         """Returns the models, the one that lacks most first."""
-        counts: collections.Counter[str] = collections.Counter()
-        for key, replica in mine.items():
-            is_counted = key not in self.retiring and key not in self.forming
-            if replica.is_whole and is_counted:
-                counts[replica.model] += 1
-        for forming in self.forming.values():
-            counts[forming.spec.name] += 1
         return sorted(
             self.spec.models,
-            key=lambda each: (
-                counts[each.name] / max(each.share, 1e-6),
-                -each.share,
-            ),
+            key=lambda each: (self._coverage(each, fleet), -each.share),
         )
 
     def _stage(
         self,
+        domain: str,
         free: Iterable[model.EngineRecord],
         mine: Mapping[model.Key, model.Replica],
         fleet: beliefs.Fleet,
@@ -533,40 +584,90 @@
                 or now - pending[1] > self.timing.stage_s
             ):
                 del self.staging[each.id]
-        held: collections.Counter[str] = collections.Counter()
-        blank = []
-        for each in engines:
-            pending = self.staging.get(each.id)
-            if pending is not None:
-                held[pending[0]] += 1
-            elif each.staged:
-                held[each.staged[-1]] += 1
-            else:
-                blank.append(each)
+        if self._cold_joins():
+            return []
+        wishes = self._completions(engines, fleet)
+        wishes += self._spares(domain, engines, wishes, mine)
         orders = []
-        for each in blank:
-            if self._load_tokens < 1 or self._cold_joins():
+        for engine, name in wishes:
+            if self._load_tokens < 1:
                 break
-            spec = min(
-                self._wanted(mine),
-                key=lambda spec: held[spec.name] / spec.span,
-            )
-            held[spec.name] += 1
             self._load_tokens -= 1
-            self.staging[each.id] = (spec.name, now)
+            self.staging[engine.id] = (name, now)
             orders.append(
-                model.Order(
-                    model.OrderKind.STAGE, each, "spare", model=spec.name
-                )
+                model.Order(model.OrderKind.STAGE, engine, "spare", model=name)
             )
         return orders
 
+    def _weights(self, engine: model.EngineRecord) -> str:
+        """Returns the model that an engine has, or is loading."""
+        pending = self.staging.get(engine.id)
+        if pending is not None:
+            return pending[0]
+        return engine.staged[-1] if engine.staged else ""
+
+    def _completions(
+        self, engines: list[model.EngineRecord], fleet: beliefs.Fleet
+    ) -> list[tuple[model.EngineRecord, str]]:
+        """Returns the loads that let the free engines form a replica."""
+        best: tuple[int, list[tuple[model.EngineRecord, str]]] | None = None
+        for spec in self._wanted(fleet):
+            if len(engines) < spec.span:
+                continue
+            have = [
+                each for each in engines if self._weights(each) == spec.name
+            ]
+            missing = spec.span - len(have)
+            if missing <= 0:
+                return []
+            others = sorted(
+                (
+                    each
+                    for each in engines
+                    if each not in have and each.id not in self.staging
+                ),
+                key=lambda each: (bool(each.staged), each.id),
+            )[:missing]
+            if len(others) < missing:
+                continue
+            loads = [(each, spec.name) for each in others]
+            if best is None or missing < best[0]:
+                best = (missing, loads)
+        return best[1] if best is not None else []
+
+    def _spares(
+        self,
+        domain: str,
+        engines: list[model.EngineRecord],
+        wishes: list[tuple[model.EngineRecord, str]],
+        mine: Mapping[model.Key, model.Replica],
+    ) -> list[tuple[model.EngineRecord, str]]:
+        """Returns the loads that give the domain's replicas spares."""
+        exposed: collections.Counter[str] = collections.Counter()
+        for replica in mine.values():
+            if replica.members[0][1].domain == domain:
+                exposed[replica.model] += len(replica.members)
+        for forming in self.forming.values():
+            exposed[forming.spec.name] += forming.spec.span
+        if not exposed:
+            return []
+        taken = {each.id for each, _ in wishes}
+        held = collections.Counter(self._weights(each) for each in engines)
+        held.update(name for _, name in wishes)
+        found = []
+        for each in engines:
+            if self._weights(each) or each.id in taken:
+                continue
+            name = max(
+                exposed, key=lambda name: exposed[name] / (1 + held[name])
+            )
+            held[name] += 1
+            found.append((each, name))
+        return found
+
     def _cold_joins(self) -> bool:
         return any(each.loads for each in self.forming.values())
 
-    def _may_load_cold(self) -> bool:
-        return not self._cold_joins()
-
     def _load_slowdown(self, fleet: beliefs.Fleet) -> float:
         most = max(1, self.spec.loads_at_once)
         return max(1.0, len(fleet.engines) / most)
@@ -574,6 +675,14 @@
     def _most_load_tokens(self) -> float:
         return max(2.0, self.spec.loads_per_s)
 
+    def _note_load(self, running: Mapping[str, int], now: float) -> None:
+        """Keeps the highest load of each model, fading."""
+        fade = 0.5 ** ((now - self._peaks_at) / _PEAK_HALF_LIFE_S)
+        self._peaks_at = now
+        for spec in self.spec.models:
+            faded = self.peaks.get(spec.name, 0.0) * fade
+            self.peaks[spec.name] = max(faded, running.get(spec.name, 0))
+
     def _refill(self, now: float) -> None:
         rate = self.spec.loads_per_s / self.planner_count
         passed = now - self._tokens_at
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -234,6 +234,15 @@
             routing.version,
         )
 
+    def running_by_model(self) -> dict[str, int]:
+        """Returns the requests that run at replicas, over all instances."""
+        now = self.clock()
+        found: dict[str, int] = {}
+        for key, replica in self.fleet.replicas().items():
+            running = self.replica_loads.usage(key, now).running
+            found[replica.model] = found.get(replica.model, 0) + running
+        return found
+
     def spec(self, service: str) -> routing_model.EngineSpec | None:
         """Returns how a service's engines work; None for a plain one."""
         if self.routing is None:
