--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,278 @@
+"""What is believed of engines, and the planner of a zone."""
+
+import dataclasses
+import random
+
+from tamarackpier.fleet import beliefs, form, model
+from tamarackpier.standin import fabric as fabric_lib
+from tests import hosted_fixtures
+
+TICK_S = 0.1
+DETECT_S = 0.5
+
+
+def _fleet(records):
+    fleet = beliefs.Fleet()
+    fleet.use_services(hosted_fixtures.services())
+    fleet.replace(records, 0.0)
+    return fleet
+
+
+def _planner(now=0.0, number=1):
+    return form.ZonePlanner(
+        "drafts",
+        "zone-a",
+        hosted_fixtures.SPEC,
+        "entry-1",
+        number << 20,
+        1,
+        form.FormTiming(),
+        now,
+    )
+
+
+class _Zone:
+    """A planner among stand-in engines, with deaths and late orders."""
+
+    def __init__(self, seed, domains=2, engines=9, late_share=0.0):
+        self.rng = random.Random(seed)
+        self.late_share = late_share
+        self.fabric = fabric_lib.create_fabric(
+            hosted_fixtures.SPEC, domains, engines, self.rng
+        )
+        self.fleet = _fleet([])
+        self.planner = _planner()
+        self.now = 0.0
+        self.lost_at = {}
+        self.planners = 1
+        self.orders = 0
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.now < end:
+            self.now += TICK_S
+            self.fabric.advance(self.now)
+            self.fleet.replace(self.fabric.rows(), self.now)
+            self._detect()
+            orders = self.planner.tick(self.fleet, {}, self.now)
+            self.orders += len(orders)
+            for order in orders:
+                self.planner.settle(order, self._send(order), self.now)
+
+    def replace_planner(self):
+        """Another instance takes over, knowing nothing."""
+        self.planners += 1
+        self.planner = _planner(self.now, self.planners)
+
+    def kill(self, count=1):
+        alive = [
+            name
+            for name, each in self.fabric.engines.items()
+            if each.is_alive and each.membership is not None
+        ]
+        for name in self.rng.sample(alive, min(count, len(alive))):
+            self.fabric.kill(name)
+            self.lost_at[name] = self.now
+
+    def cut(self):
+        leads = [
+            name
+            for name, each in self.fabric.engines.items()
+            if each.is_alive and each.membership and not each.membership.rank
+        ]
+        if leads:
+            name = self.rng.choice(leads)
+            self.fabric.engines[name].is_cut = True
+            self.lost_at[name] = self.now
+
+    def heal(self):
+        for name, each in self.fabric.engines.items():
+            if each.is_cut:
+                each.is_cut = False
+                self.lost_at.pop(name, None)
+                self.fleet.silent.pop(name, None)
+
+    def _send(self, order):
+        if self.rng.random() < self.late_share:
+            delay_s = self.rng.uniform(2, 12)
+            self.fabric.late.append((self.now + delay_s, order))
+            return model.OrderOutcome.UNKNOWN
+        return self.fabric.order(order)
+
+    def _detect(self):
+        for name, at in self.lost_at.items():
+            if self.now - at > DETECT_S and name in self.fleet.engines:
+                self.fleet.silent.setdefault(name, self.now)
+        for key, replica in self.fleet.replicas().items():
+            lost = [
+                each.id
+                for _, each in replica.members
+                if each.id in self.fleet.silent
+            ]
+            if lost:
+                self.planner.confirm(key)
+
+
+def test_a_domain_of_nine_holds_one_replica_of_each_model_and_two_spares():
+    zone = _Zone(1, domains=1)
+    zone.run(60)
+    assert zone.fabric.serving("large") == 1
+    assert zone.fabric.serving("small") == 1
+    staged = [
+        each.record.staged[-1]
+        for each in zone.fabric.engines.values()
+        if each.membership is None
+    ]
+    assert sorted(staged) == ["large", "small"]
+
+
+def test_a_replica_stands_again_soon_with_a_spare_that_holds_its_weights():
+    zone = _Zone(2, domains=1)
+    zone.run(60)
+    lead = next(
+        each
+        for each in zone.fabric.engines.values()
+        if each.record.model == "large" and each.membership.rank == 0
+    )
+    zone.fabric.kill(lead.members[2])
+    zone.lost_at[lead.members[2]] = zone.now
+    zone.run(DETECT_S + 1.6 + 1.0)
+    assert zone.fabric.serving("large") == 1
+
+
+def test_survivors_of_one_model_are_completed_before_spares_are_made():
+    records = hosted_fixtures.replica_records("r1")[:3]
+    survivors = [dataclasses.replace(each, membership=None) for each in records]
+    other = hosted_fixtures.record("spare", staged=("small",), model="")
+    fleet = _fleet([*survivors, other])
+    orders = _planner().tick(fleet, {}, 0.0)
+    assert [(each.kind, each.engine.id, each.model) for each in orders] == [
+        (model.OrderKind.STAGE, "spare", "large")
+    ]
+
+
+def test_a_lead_is_opened_only_when_every_member_was_ready():
+    records = hosted_fixtures.replica_records(state=model.MemberState.READY)
+    late = hosted_fixtures.with_state(records[3], model.MemberState.JOINING)
+    fleet = _fleet([*records[:3], late])
+    planner = _planner()
+    assert planner.tick(fleet, {}, 0.0) == []
+    fleet.put(records[3])
+    orders = planner.tick(fleet, {}, 0.1)
+    assert [(each.kind, each.engine.id) for each in orders] == [
+        (model.OrderKind.OPEN, "r1-0")
+    ]
+
+
+def test_members_are_not_used_again_before_their_lead_has_left():
+    records = hosted_fixtures.replica_records()
+    fleet = _fleet(records)
+    planner = _planner()
+    fleet.silent["r1-2"] = 0.0
+    planner.confirm(model.Key("r1", 1))
+    orders = planner.tick(fleet, {}, 0.0)
+    assert [(each.kind, each.engine.id) for each in orders] == [
+        (model.OrderKind.LEAVE, "r1-0")
+    ]
+    planner.settle(orders[0], model.OrderOutcome.UNKNOWN, 0.3)
+    assert planner.tick(fleet, {}, 0.3) == []
+    planner.settle(orders[0], model.OrderOutcome.ACCEPTED, 0.5)
+    planner.tick(fleet, {}, 0.5)
+    assert model.Key("r1", 1) not in planner.retiring
+
+
+def test_a_silent_lead_holds_its_members_while_its_row_stands():
+    records = hosted_fixtures.replica_records()
+    spares = [
+        hosted_fixtures.record("s1", staged=("large",), model=""),
+    ]
+    fleet = _fleet([*records, *spares])
+    planner = _planner()
+    fleet.silent["r1-0"] = 0.0
+    planner.confirm(model.Key("r1", 1))
+    for step in range(20):
+        now = step * TICK_S
+        orders = planner.tick(fleet, {}, now)
+        assert all(each.kind is not model.OrderKind.JOIN for each in orders), (
+            orders
+        )
+    fleet.remove("r1-0", 2.0)
+    planner.tick(fleet, {}, 2.1)
+    orders = planner.tick(fleet, {}, 2.2)
+    joins = [each for each in orders if each.kind is model.OrderKind.JOIN]
+    assert {each.engine.id for each in joins} <= {
+        "r1-1",
+        "r1-2",
+        "r1-3",
+        "s1",
+    }
+
+
+def test_deaths_late_orders_and_new_planners_never_break_a_promise():
+    for seed in range(25):
+        zone = _Zone(seed, late_share=0.1)
+        zone.run(25)
+        for step in range(12):
+            zone.kill(zone.rng.choice((1, 2)))
+            if zone.rng.random() < 0.3:
+                zone.replace_planner()
+            if zone.rng.random() < 0.3:
+                zone.cut()
+            zone.run(zone.rng.uniform(0.5, 4.0))
+            zone.heal()
+            zone.fabric.add(f"n{step}", "drafts", "zone-a", "d0")
+        zone.late_share = 0.0
+        zone.run(60)
+        alive = sum(each.is_alive for each in zone.fabric.engines.values())
+        if alive >= 9:
+            served = zone.fabric.serving("large") + zone.fabric.serving("small")
+            assert served >= 1, seed
+
+
+def test_loads_keep_to_the_weight_store_s_rate_once_replicas_stand():
+    zone = _Zone(5)
+    zone.run(40)
+    zone.fabric.loads.clear()
+    for step in range(20):
+        zone.fabric.add(f"n{step}", "drafts", "zone-a", "d0")
+    zone.run(30)
+    loads = zone.fabric.loads
+    for start in loads:
+        inside = [each for each in loads if start <= each < start + 5]
+        assert len(inside) <= 4.5 * 5 * 1.1 + 3
+
+
+def test_a_row_that_goes_as_the_store_returns_counts_for_a_while():
+    fleet = _fleet([hosted_fixtures.record("e1")])
+    fleet.store_returned(10.0)
+    fleet.remove("e1", 10.5)
+    assert "e1" in fleet.engines
+    fleet.put(hosted_fixtures.record("e1"))
+    assert fleet.expire(12.6) == []
+    fleet.store_returned(20.0)
+    fleet.remove("e1", 20.5)
+    assert fleet.expire(22.6) == ["e1"]
+    assert "e1" not in fleet.engines
+
+
+def test_a_row_of_an_earlier_life_is_not_believed():
+    fleet = _fleet([hosted_fixtures.record("e1", incarnation=5)])
+    fleet.put(hosted_fixtures.record("e1", incarnation=4, is_leaving=True))
+    assert not fleet.engines["e1"].is_leaving
+
+
+def test_a_replica_serves_only_whole_open_and_unsuspended():
+    records = hosted_fixtures.replica_records()
+    fleet = _fleet(records)
+    assert len(fleet.serving("drafts", "large")) == 1
+    leaving = dataclasses.replace(records[2], is_leaving=True)
+    fleet.put(leaving)
+    assert fleet.serving("drafts", "large") == []
+    fleet.put(records[2])
+    key = model.Key("r1", 1)
+    fleet.suspend(beliefs.Suspension(key, 3.0, (), "silent"))
+    assert fleet.serving("drafts", "large") == []
+    fleet.expire(3.1)
+    assert len(fleet.serving("drafts", "large")) == 1
+    fleet.remove("r1-3", 4.0)
+    assert fleet.serving("drafts", "large") == []
--- /dev/null
+++ b/tests/test_hosted_parts.py
@@ -0,0 +1,437 @@
+"""The pure parts of a hosted instance: routing, budgets, events, peers."""
+
+import asyncio
+import json
+import random
+
+import hypothesis
+from hypothesis import strategies
+from returns import pipeline
+
+from tamarackpier import codes, hosted_settings, metrics
+from tamarackpier.daemon import beliefs_intake, evidence
+from tamarackpier.fleet import beliefs, model
+from tamarackpier.peer import roster as roster_lib
+from tamarackpier.platform import decode, edge, interfaces, wire
+from tamarackpier.routing import table
+from tamarackpier.traffic import budget, choose, events, flight, load, score
+from tests import fixtures, hosted_fixtures
+
+FUZZ = hypothesis.settings(derandomize=True, database=None, max_examples=200)
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(strategies.text(max_size=8), inner)
+    ),
+    max_leaves=12,
+)
+
+SETTINGS = """
+[instance]
+id = front-1
+availability_zone = zone-a
+region = region-1
+ip = 10.1.0.40
+[listen]
+callers = 10.1.0.40:8227
+readiness = 10.1.0.40:8220
+addresses = 10.1.0.40:8224
+first_internal_port = 7340
+contacts = 10.1.0.40:8229,10.2.0.29:8229
+[store]
+address = 10.200.1.7:8223
+"""
+
+
+def test_the_longest_prefix_of_the_host_takes_a_request():
+    routes = (
+        hosted_fixtures.route(name="short", prefix="/a/"),
+        hosted_fixtures.route(name="long", prefix="/a/b/"),
+        hosted_fixtures.route(name="other", host="b.example", prefix="/"),
+    )
+    routing = table.create_routing(hosted_fixtures.configuration(1, routes))
+    assert routing.match("A.example", "/a/b/c").unwrap().name == "long"
+    assert routing.match("a.example:80", "/a/bc").unwrap().name == "short"
+    assert routing.match("b.example", "/x").unwrap().name == "other"
+    missing = routing.match("a.example", "/x")
+    assert missing.failure().code is codes.NO_ROUTE
+
+
+def test_keys_open_all_but_public_routes():
+    routing = table.create_routing(hosted_fixtures.configuration())
+    closed = hosted_fixtures.route()
+    public = hosted_fixtures.route(is_public=True)
+    assert routing.account(closed, "key-1").unwrap().name == "clerks"
+    assert routing.account(closed, "x").failure().code is codes.UNKNOWN_KEY
+    assert routing.account(closed, None).failure().code is codes.NO_KEY
+    assert routing.account(public, None).unwrap() is None
+
+
+def _document(version):
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": "r",
+                "host": "a.example",
+                "path_prefix": "/d/",
+                "kind": "streaming",
+                "timeout_ms": 8000,
+                "target_latency_ms": 300,
+                "priority": 1,
+                "service": "s",
+                "max_attempts": 2,
+                "resume_streams": True,
+                "gap_target_ms": 300,
+            }
+        ],
+        "services": [{"name": "s"}],
+        "limits": {"max_body_bytes": 10},
+        "tenants": [{"name": "t", "api_keys": ["k"], "priority": 1}],
+    }
+
+
+def test_a_configuration_never_goes_back():
+    taken = []
+    intake = beliefs_intake.ConfigurationIntake(
+        lambda routing: taken.append(routing.version),
+        metrics.Metrics(),
+        lambda: 0.0,
+    )
+
+    def offer(value):
+        intake.rows(
+            interfaces.Changes(
+                (hosted_fixtures.change(wire.Field.CONFIGURATION_KEY, value),),
+                1,
+            )
+        )
+
+    offer(_document(5))
+    offer(_document(3))
+    offer({"version": "no"})
+    offer(_document(9))
+    assert taken == [5, 9]
+    assert intake.version == 9
+    route = intake.routing.match("a.example", "/d/1").unwrap()
+    assert (route.timeout_s, route.objective_s) == (8.0, 0.3)
+    assert route.is_repeatable
+
+
+@FUZZ
+@hypothesis.given(JSON)
+def test_any_configuration_is_taken_or_refused_with_a_number(value):
+    found = decode.configuration(json.dumps(value).encode())
+    if not pipeline.is_successful(found):
+        assert found.failure().code is codes.BAD_CONFIGURATION
+
+
+@FUZZ
+@hypothesis.given(strategies.binary(max_size=60), JSON, JSON)
+def test_any_engine_row_is_taken_or_refused_with_a_number(data, group, state):
+    row = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "slots": 3,
+        "state": "ready",
+        "group": group,
+        "staged": state,
+    }
+    for each in (data, json.dumps(row).encode()):
+        found = decode.engine_record("e", each)
+        if not pipeline.is_successful(found):
+            assert found.failure().code is codes.BAD_UPSTREAM_DATA
+
+
+def test_an_engine_row_is_decoded_into_our_terms():
+    row = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "slots": 13,
+        "state": "draining",
+        "born": 17,
+        "models": [{"name": "m"}],
+        "domain": "d",
+        "staged": ["m"],
+        "group": {"name": "g", "epoch": 4, "rank": 1, "state": "ready"},
+    }
+    found = decode.engine_record("e", json.dumps(row).encode()).unwrap()
+    assert found.is_leaving
+    assert found.incarnation == 17
+    assert found.membership == model.Membership(
+        model.Key("g", 4), 1, model.MemberState.READY
+    )
+    row["state"] = "odd"
+    assert not pipeline.is_successful(
+        decode.engine_record("e", json.dumps(row).encode())
+    )
+
+
+@FUZZ
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from((b"host", b"connection", b"x")),
+            strategies.binary(max_size=12),
+        ),
+        max_size=6,
+    ),
+    strategies.binary(max_size=12),
+)
+def test_any_head_of_a_request_is_decoded(headers, text):
+    headers = [*headers, (wire.Header.DEADLINE_MS.encode(), text)]
+    scope = {"method": "GET", "raw_path": b"/a", "headers": headers}
+    found = edge.decode_request(scope, b"/a?b", 10.0)
+    assert found.deadline > 10.0 or text.strip().isdigit()
+
+
+def test_what_only_we_may_say_is_not_taken_from_callers():
+    headers = [
+        (wire.Header.ACCOUNT.encode(), b"forged"),
+        (wire.Header.EXPECT_ENGINE.encode(), b"forged"),
+        (wire.Header.AUTHORIZATION.encode(), b"Token secret"),
+        (b"connection", b"x-hop"),
+        (b"x-hop", b"1"),
+        (b"x-kept", b"1"),
+    ]
+    scope = {"method": "GET", "raw_path": b"/a", "headers": headers}
+    found = edge.decode_request(scope, b"/a", 0.0)
+    assert found.headers == ((b"x-kept", b"1"),)
+    assert found.key == "secret"
+
+
+@FUZZ
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.floats(0, 0.4), strategies.booleans()),
+        max_size=300,
+    )
+)
+def test_repeats_never_exceed_the_bound_in_any_window(steps):
+    found = budget.WindowBudget(0.2, 7.0, 10.0)
+    now = 0.0
+    requests, repeats = [], []
+    for pause_s, is_repeat in steps:
+        now += pause_s
+        if is_repeat:
+            if found.spend(now):
+                repeats.append(now)
+        else:
+            found.request(now)
+            requests.append(now)
+    for end in repeats:
+        inside = [each for each in repeats if end - 10 < each <= end]
+        asked = [each for each in requests if end - 20 < each <= end]
+        assert len(inside) <= 0.2 * len(asked) + 7.0
+
+
+def test_instances_share_what_is_allowed_beside():
+    spent = 0
+    for _ in range(4):
+        found = budget.WindowBudget(0.2, 100.0, 10.0)
+        found.instances = 4
+        while found.spend(0.0):
+            spent += 1
+    assert spent <= 100
+
+
+@FUZZ
+@hypothesis.given(
+    strategies.integers(1, 12),
+    strategies.lists(strategies.integers(0, 200), max_size=4),
+    strategies.integers(1, 40),
+)
+def test_events_come_whole_once_and_in_order_over_any_cuts(count, cuts, size):
+    whole = [b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, count + 1)]
+    stream = events.EventStream()
+    out = b""
+    for cut in [*cuts, None]:
+        begin = int(stream.last_id or 0)
+        data = b"".join(whole[begin:])[:cut]
+        for start in range(0, len(data), size):
+            out += stream.feed(data[start : start + size])
+        stream.resume()
+    assert out == b"".join(whole)
+
+
+def test_a_gap_after_a_resume_is_noticed():
+    stream = events.EventStream("4")
+    stream.resume()
+    try:
+        stream.feed(b"id: 6\ndata: x\n\n")
+    except events.StreamGapError as error:
+        assert "event 6 came after event 4" in str(error)
+    else:
+        raise AssertionError("the gap went unnoticed")
+    assert stream.feed(b"id: 4\ndata: again\n\n") == b""
+
+
+def test_loads_of_peers_count_until_they_are_old():
+    loads = load.Loads()
+    loads.begin("e1", 100)
+    loads.peer("p", {"e1": load.Usage(3, 50)}, 10.0)
+    assert loads.usage("e1", 10.5) == load.Usage(4, 150)
+    assert loads.usage("e1", 20.0) == load.Usage(1, 100)
+    loads.begun("e1", 100)
+    loads.end("e1")
+    assert loads.own == {}
+
+
+def test_a_request_goes_where_its_first_event_is_soonest():
+    replicas = []
+    for name in ("busy", "calm", "slow"):
+        records = hosted_fixtures.replica_records(name)
+        members = tuple(enumerate(records))
+        replicas.append(model.Replica(model.Key(name, 1), "large", 4, members))
+    usages = {"busy": load.Usage(12, 8000)}
+    wish = choose.Wish("zone-a", 1000)
+    options = choose.replica_options(
+        replicas,
+        hosted_fixtures.SPEC,
+        lambda key: usages.get(key.replica, load.Usage()),
+        lambda key: 6.0 if key.replica == "slow" else 1.0,
+        wish,
+    )
+    pick = choose.CHOOSERS.get("soonest")
+    for seed in range(20):
+        found = pick(options, wish, random.Random(seed))
+        assert found.key.replica == "calm"
+    full = choose.Option(
+        options[0].engine, options[0].key, load.Usage(20, 0), 13, 0.1
+    )
+    assert not full.has_room
+
+
+def test_scores_fade_so_that_a_recovered_engine_is_tried_again():
+    scores = score.Scores()
+    for _ in range(10):
+        scores.fail("e", 0.0)
+    assert scores.failing("e", 0.0) > 0.9
+    assert scores.failing("e", 15.0) < 0.05
+    scores.succeed("s", 1.0, 0.0)
+    assert scores.latency_s("s", 0.1, 0.0) == 1.0
+    assert scores.latency_s("s", 0.1, 30.0) < 0.11
+
+
+def test_only_a_replica_whose_streams_are_all_silent_is_doubted():
+    async def check():
+        async with asyncio.timeout(None) as scope:
+            flights = flight.Flights()
+            key = model.Key("r", 1)
+            found = flight.Flight("q", key, "e", scope, 0.0, 0.05)
+            flights.add(found)
+            assert flights.silent(0.25) == []
+            assert flights.silent(0.35)[0][0] == key
+            flights.moved(key, 0.3)
+            assert flights.silent(0.35) == []
+            found.waiting_since = None
+            assert flights.silent(9.0) == []
+            flights.remove(found)
+            assert flights.by_key == {}
+
+    asyncio.run(check())
+
+
+def test_a_round_of_questions_names_who_speaks_against_a_replica():
+    records = hosted_fixtures.replica_records()
+    replica = model.Replica(
+        model.Key("r1", 1), "large", 4, tuple(enumerate(records))
+    )
+
+    def well(engine):
+        return evidence.result.Success(
+            model.EngineReport(engine.id, engine.membership, 0, 0, 1.0)
+        )
+
+    answers = {each.id: well(each) for each in records}
+    assert evidence.judge(replica, answers).reason == ""
+    answers["r1-2"] = evidence.failures.failure(codes.UPSTREAM_UNREACHABLE, "x")
+    found = evidence.judge(replica, answers)
+    assert found.silent == ("r1-2",)
+    moved = model.Membership(model.Key("r9", 2), 0, model.MemberState.READY)
+    answers["r1-2"] = evidence.result.Success(
+        model.EngineReport("r1-2", moved, 0, 0, 1.0)
+    )
+    assert "r9" in evidence.judge(replica, answers).reason
+
+
+def _presence(name, incarnation=1, beat=1, **changes):
+    values = {
+        "availability_zone": "zone-a",
+        "caller_address": f"{name}:1",
+        "peer_address": f"{name}:2",
+        "is_ready": True,
+        "is_leaving": False,
+    }
+    return roster_lib.Presence(name, incarnation, beat, **(values | changes))
+
+
+def test_address_answers_leave_out_who_is_silent_leaving_or_not_ready():
+    roster = roster_lib.Roster(_presence("a"))
+    roster.merge(
+        [
+            _presence("b"),
+            _presence("c", is_leaving=True),
+            _presence("d", is_ready=False),
+            _presence("e"),
+        ],
+        0.0,
+    )
+    assert roster.caller_addresses(0.5) == ["a:1", "b:1", "e:1"]
+    roster.refuse("e", 0.5)
+    assert roster.caller_addresses(0.6) == ["a:1", "b:1"]
+    roster.merge([_presence("e", beat=2)], 1.0)
+    assert roster.caller_addresses(1.5) == ["a:1", "e:1"]
+
+
+def test_old_news_of_a_peer_does_not_make_it_live():
+    roster = roster_lib.Roster(_presence("a"))
+    roster.merge([_presence("b", beat=7)], 0.0)
+    roster.merge([_presence("b", beat=7)], 5.0)
+    assert roster.live(5.1) == []
+
+
+def test_a_start_after_the_clock_was_set_back_is_heard():
+    roster = roster_lib.Roster(_presence("a"))
+    roster.merge([_presence("b", incarnation=9_000, beat=50)], 0.0)
+    roster.merge([_presence("b", incarnation=7_000, beat=1)], 0.5)
+    assert roster.others["b"][0].incarnation == 9_000
+    roster.merge([_presence("b", incarnation=7_000, beat=4)], 2.0)
+    assert [each.incarnation for each in roster.live(2.1)] == [7_000]
+
+
+def test_only_a_newer_start_proves_that_a_process_has_ended():
+    roster = roster_lib.Roster(_presence("a", incarnation=5))
+    roster.merge([_presence("b", incarnation=3)], 0.0)
+    assert not roster.has_ended("b", 3)
+    assert not roster.has_ended("unknown", 1)
+    roster.merge([_presence("b", incarnation=4)], 1.0)
+    assert roster.has_ended("b", 3)
+    assert roster.has_ended("a", 4)
+
+
+def test_suspensions_end_by_themselves():
+    fleet = beliefs.Fleet()
+    key = model.Key("r", 1)
+    assert fleet.suspend(beliefs.Suspension(key, 2.0, (), "x"))
+    assert not fleet.suspend(beliefs.Suspension(key, 1.0, (), "x"))
+    fleet.expire(2.5)
+    assert fleet.suspended == {}
+
+
+def test_settings_of_a_hosted_instance_are_checked():
+    found = hosted_settings.from_text(SETTINGS).unwrap()
+    assert found.listen.contacts == ("10.1.0.40:8229", "10.2.0.29:8229")
+    assert found.bounds.retry_ratio == 0.2
+    none = SETTINGS.replace("10.1.0.40:8229,10.2.0.29:8229", "")
+    assert hosted_settings.from_text(none).unwrap().listen.contacts == ()
+    bad = SETTINGS.replace("ip = 10.1.0.40\n", "").replace("7340", "many")
+    found = hosted_settings.from_text(bad + "[other]\nx = 1\n")
+    assert fixtures.failure_numbers(found) == [1002, 1005, 1004]
