--- a/tamarackpier/fleet/form.py
+++ b/tamarackpier/fleet/form.py
@@ -145,7 +145,8 @@
         free = self._free(fleet)
         for domain in sorted(free):
             orders += self._form(free[domain], fleet, now)
-        for domain in sorted(free):
+        self._forget_loads(fleet, now)
+        for domain in sorted(free, key=lambda each: self._urgency(free[each])):
             orders += self._stage(domain, free[domain], mine, fleet, now)
         return orders
 
@@ -577,20 +578,13 @@
     ) -> list[model.Order]:
         """Has free engines load the weights that their domain lacks."""
         engines = list(free)
-        for each in engines:
-            pending = self.staging.get(each.id)
-            if pending is not None and (
-                pending[0] in each.staged
-                or now - pending[1] > self.timing.stage_s
-            ):
-                del self.staging[each.id]
         if self._cold_joins():
             return []
         wishes = self._completions(engines, fleet)
         wishes += self._spares(domain, engines, wishes, mine)
         orders = []
         for engine, name in wishes:
-            if self._load_tokens < 1:
+            if self._load_tokens < 1 or len(self.staging) >= self._at_once():
                 break
             self._load_tokens -= 1
             self.staging[engine.id] = (name, now)
@@ -599,6 +593,29 @@
             )
         return orders
 
+    def _forget_loads(self, fleet: beliefs.Fleet, now: float) -> None:
+        """Drops loads that ended, and those that nothing is heard of."""
+        for name, (model_name, since) in list(self.staging.items()):
+            engine = fleet.engines.get(name)
+            if (
+                engine is None
+                or name in fleet.silent
+                or model_name in engine.staged
+                or now - since > self.timing.stage_s
+            ):
+                del self.staging[name]
+
+    def _urgency(self, free: list[model.EngineRecord]) -> tuple[int, int]:
+        """Ranks domains by how few loads let them form a replica."""
+        missing = [
+            spec.span
+            - sum(1 for each in free if self._weights(each) == spec.name)
+            for spec in self.spec.models
+            if spec.span <= len(free)
+        ]
+        needed = [each for each in missing if each > 0]
+        return (min(needed, default=99), -len(free))
+
     def _weights(self, engine: model.EngineRecord) -> str:
         """Returns the model that an engine has, or is loading."""
         pending = self.staging.get(engine.id)
@@ -665,6 +682,13 @@
             found.append((each, name))
         return found
 
+    def _at_once(self) -> int:
+        """Returns how many loads this planner keeps under way.
+
+        More at a time would only slow each other down, and finish no sooner.
+        """
+        return max(1, self.spec.loads_at_once // self.planner_count)
+
     def _cold_joins(self) -> bool:
         return any(each.loads for each in self.forming.values())
 
--- a/tamarackpier/traffic/choose.py
+++ b/tamarackpier/traffic/choose.py
@@ -15,7 +15,9 @@
 
 __all__ = ["CHOOSERS", "Option", "Wish", "engine_options", "replica_options"]
 
-QUEUE_FACTOR = 1.5  # Requests per slot that an upstream may hold.
+_QUEUE_FACTOR = 1.5  # Requests per slot that a plain engine may hold.
+_ON_TIME_SHARE = 0.8  # Of the objective, for what is expected; rest is slack.
+_CALM_SHARE = 0.6  # Of its slots, below which a replica takes any request.
 _FAR_S = 0.003  # Round trip to another availability zone, from the sheet.
 _JITTER = 0.15  # Keeps instances with the same view from the same choice.
 _FAILING_WEIGHT = 10.0
@@ -31,6 +33,7 @@
         usage: What it runs, as far as is known.
         slots: Requests that it runs at once.
         expected_s: Expected time to the first event or the answer.
+        has_room: Whether it may be given the request.
         failing: Share of its answers that failed lately.
     """
 
@@ -39,13 +42,9 @@
     usage: load.Usage
     slots: int
     expected_s: float
+    has_room: bool
     failing: float = 0.0
 
-    @property
-    def has_room(self) -> bool:
-        """Whether it may hold one more request."""
-        return self.usage.running < self.slots * QUEUE_FACTOR
-
 
 @dataclasses.dataclass(frozen=True)
 class Wish:
@@ -54,10 +53,12 @@
     Attributes:
         availability_zone: Zone of this instance.
         prompt_tokens: Tokens to read.
+        objective_s: Latency objective of the first event.
     """
 
     availability_zone: str
     prompt_tokens: int = 0
+    objective_s: float = 1.0
 
 
 Chooser = Callable[[list[Option], Wish, random.Random], Option]
@@ -87,7 +88,12 @@
     slowness_of: Callable[[model.Key], float],
     wish: Wish,
 ) -> list[Option]:
-    """Returns the replicas as options, with their expected first event."""
+    """Returns the replicas as options, with their expected first event.
+
+    A replica that would be late already takes no more: whoever is refused at
+    once loses nothing that waiting would have given, and the others stay on
+    time.
+    """
     options = []
     for replica in replicas:
         lead = replica.lead
@@ -97,7 +103,18 @@
         usage = usage_of(replica.key)
         expected_s = first_event_s(spec, kind, usage, wish.prompt_tokens)
         expected_s *= slowness_of(replica.key)
-        options.append(Option(lead, replica.key, usage, lead.slots, expected_s))
+        is_calm = usage.running < _CALM_SHARE * lead.slots
+        is_on_time = expected_s <= _ON_TIME_SHARE * wish.objective_s
+        options.append(
+            Option(
+                lead,
+                replica.key,
+                usage,
+                lead.slots,
+                expected_s,
+                is_calm or is_on_time,
+            )
+        )
     return options
 
 
@@ -139,6 +156,7 @@
                 usage,
                 each.slots,
                 expected_s,
+                usage.running < each.slots * _QUEUE_FACTOR,
                 failing_of(each.id),
             )
         )
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -36,7 +36,8 @@
 _ANSWER_SLACK_S = 0.02  # To tell a caller before it stops waiting.
 _HEDGE_SHARE = 0.7  # Of the objective, before a second engine is asked.
 _FULL_RETRY_S = 0.3
-_GONE_RETRY_S = 0.8  # A replica stands again after one to two seconds.
+_LEAST_RETURN_S = 0.7
+_MOST_RETURN_S = 1.8
 _NEW_INSTANCE_RETRY_S = 0.3
 
 
@@ -259,7 +260,9 @@
         now = self.clock()
         request = run.request
         wish = choose.Wish(
-            self.settings.availability_zone, request.prompt_tokens
+            self.settings.availability_zone,
+            request.prompt_tokens,
+            run.route.objective_s,
         )
         spec = self.spec(run.service)
         if spec is not None and request.model:
@@ -290,15 +293,23 @@
             raise _refused(
                 codes.UPSTREAMS_FULL,
                 f"all {len(untried)} engines are full",
-                _FULL_RETRY_S,
+                self._return_s(),
             )
         code = codes.NO_REPLICA if spec is not None else codes.NO_UPSTREAM
         raise _refused(
             code,
             f"{len(options)} known, {len(run.tried)} tried",
-            _GONE_RETRY_S,
+            self._return_s(),
         )
 
+    def _return_s(self) -> float:
+        """Returns when a refused caller should come back.
+
+        A replica that was lost stands again after one to two seconds; the
+        spread keeps those that were refused together from coming together.
+        """
+        return self.rng.uniform(_LEAST_RETURN_S, _MOST_RETURN_S)
+
     def forward(
         self, run: Run, option: choose.Option, last_event_id: str
     ) -> gateway.Forward:
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -303,10 +303,30 @@
     for seed in range(20):
         found = pick(options, wish, random.Random(seed))
         assert found.key.replica == "calm"
-    full = choose.Option(
-        options[0].engine, options[0].key, load.Usage(20, 0), 13, 0.1
+    assert all(each.has_room for each in options)
+
+
+def test_a_replica_that_would_be_late_takes_no_more():
+    records = hosted_fixtures.replica_records("r")
+    replica = model.Replica(
+        model.Key("r", 1), "large", 4, tuple(enumerate(records))
     )
-    assert not full.has_room
+
+    def has_room(running, slowness=1.0):
+        found = choose.replica_options(
+            [replica],
+            hosted_fixtures.SPEC,
+            lambda key: load.Usage(running, 0),
+            lambda key: slowness,
+            choose.Wish("zone-a", 1000, 0.3),
+        )
+        return found[0].has_room
+
+    assert has_room(12)
+    assert has_room(13)
+    assert not has_room(16)
+    assert has_room(5, 9.0)
+    assert not has_room(9, 9.0)
 
 
 def test_scores_fade_so_that_a_recovered_engine_is_tried_again():
