--- a/tamarackpier/fleet/form.py
+++ b/tamarackpier/fleet/form.py
@@ -31,6 +31,8 @@
             incomplete.
         join_slack_s: What joining may take beyond the model's own time.
         drain_s: Longest wait for a lead to finish its requests.
+        leave_s: How long a replica serves on after a member has announced
+            that it leaves; the platform grants 10 s while there is work.
         stage_s: Longest wait for weights before they are ordered again.
     """
 
@@ -39,6 +41,7 @@
     join_slack_s: float = 3.0
     drain_s: float = 6.0
     stage_s: float = 40.0
+    leave_s: float = 6.0
 
 
 @dataclasses.dataclass
@@ -116,6 +119,7 @@
         self._peaks_at = now
         self._released: dict[str, model.Key] = {}
         self._incomplete_since: dict[model.Key, float] = {}
+        self._leaving_since: dict[model.Key, float] = {}
         self._load_tokens = self._most_load_tokens()
         self._tokens_at = now
 
@@ -245,6 +249,8 @@
             return
         if replica.is_open and key not in self.confirmed:
             self._incomplete_since.pop(key, None)
+            if replica.leaving and self._may_end(replica, fleet, now):
+                self._start_retiring(replica, "a member is leaving", now, True)
             return
         if key in self.confirmed:
             self._start_retiring(replica, "a member does not answer", now)
@@ -252,11 +258,12 @@
         if replica.lead_state is model.MemberState.BROKEN:
             self._start_retiring(replica, "broken", now)
             return
-        if replica.is_whole and replica.lead_state is model.MemberState.READY:
+        if replica.is_lasting and (
+            replica.lead_state is model.MemberState.READY
+        ):
             self._adopt(replica, now)
             return
-        leaving = [each for _, each in replica.members if each.is_leaving]
-        if leaving and replica.is_complete:
+        if replica.leaving and replica.is_complete:
             self._start_retiring(replica, "a member is leaving", now, True)
             return
         if replica.lead_state in (
@@ -272,6 +279,25 @@
         if now - since > self.timing.adopt_s + self._joining_s(replica):
             self._start_retiring(replica, "stays incomplete", now)
 
+    def _may_end(
+        self, replica: model.Replica, fleet: beliefs.Fleet, now: float
+    ) -> bool:
+        """Decides whether a replica with a leaving member is ended now.
+
+        It serves on until another can stand in its place, or until the member
+        may stop.
+        """
+        since = self._leaving_since.setdefault(replica.key, now)
+        if now - since > self.timing.leave_s:
+            return True
+        domain = replica.members[0][1].domain
+        spares = [
+            each
+            for each in self._free(fleet).get(domain, [])
+            if replica.model in each.staged
+        ]
+        return len(spares) >= len(replica.leaving)
+
     def _joining_s(self, replica: model.Replica) -> float:
         spec = self.spec.model(replica.model)
         if spec is None or not replica.is_complete:
@@ -360,6 +386,7 @@
         del self.retiring[key]
         self.confirmed.discard(key)
         self._incomplete_since.pop(key, None)
+        self._leaving_since.pop(key, None)
         return []
 
     def _survivors(
@@ -520,7 +547,8 @@
         self, free: list[model.EngineRecord], fleet: beliefs.Fleet
     ) -> tuple[routing_model.ModelSpec, list[model.EngineRecord], int] | None:
         """Returns the model to form next and its engines, lead first."""
-        is_cold = not any(
+        is_idle = not any(self.peaks.values())
+        is_cold = is_idle and not any(
             each.staged or each.id in self.staging for each in free
         )
         for spec in self._wanted(fleet):
@@ -546,7 +574,7 @@
             1
             for key, replica in fleet.replicas().items()
             if replica.model == spec.name
-            and replica.is_whole
+            and replica.is_lasting
             and key not in self.retiring
             and key not in self.forming
             and key not in fleet.suspended
--- a/tamarackpier/fleet/model.py
+++ b/tamarackpier/fleet/model.py
@@ -140,21 +140,40 @@
 
     @property
     def is_whole(self) -> bool:
-        """Whether every rank is there, ready, and none is leaving."""
+        """Whether every rank is there and ready."""
         if not self.is_complete:
             return False
         return all(
-            not each.is_leaving
-            and each.membership is not None
+            each.membership is not None
             and each.membership.state
             in (MemberState.READY, MemberState.OPEN, MemberState.CLOSING)
             for _, each in self.members
         )
 
+    @property
+    def is_lasting(self) -> bool:
+        """Whether it is whole and none of its members is leaving."""
+        return self.is_whole and not self.leaving
+
+    @property
+    def leaving(self) -> tuple[EngineRecord, ...]:
+        """The members that have announced that they go."""
+        return tuple(each for _, each in self.members if each.is_leaving)
+
     @property
     def is_open(self) -> bool:
-        """Whether it serves, as far as its members say."""
-        return self.lead_state is MemberState.OPEN and self.is_whole
+        """Whether it serves, as far as its members say.
+
+        A member that is leaving stays while its lead has work, so only a
+        leaving lead ends that.
+        """
+        lead = self.lead
+        return (
+            self.lead_state is MemberState.OPEN
+            and self.is_whole
+            and lead is not None
+            and not lead.is_leaving
+        )
 
 
 class OrderKind(enum.Enum):
