--- a/tamarackpier/daemon/beliefs_intake.py
+++ b/tamarackpier/daemon/beliefs_intake.py
@@ -4,7 +4,7 @@
 
 from returns import pipeline
 
-from tamarackpier import logs, metrics
+from tamarackpier import invariants, logs, metrics
 from tamarackpier.fleet import beliefs, model
 from tamarackpier.platform import decode, interfaces, wire
 from tamarackpier.routing import table
@@ -25,10 +25,12 @@
         self,
         on_new: Callable[[table.Routing], None],
         counts: metrics.Metrics,
+        checks: invariants.Invariants,
         clock: Callable[[], float],
     ) -> None:
         self.on_new = on_new
         self.metrics = counts
+        self.invariants = checks
         self.clock = clock
         self.routing: table.Routing | None = None
         self.data = b""
@@ -60,6 +62,11 @@
             self.metrics.count("configuration", "older")
             return
         before = self.version
+        self.invariants.hold(
+            "configuration_never_back",
+            configuration.version > before,
+            lambda: f"{configuration.version} after {before}",
+        )
         self.routing = table.create_routing(configuration)
         self.data = data
         self.metrics.count("configuration", "in_force")
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -137,7 +137,7 @@
             )
         )
         self.configuration = beliefs_intake.ConfigurationIntake(
-            self._use, self.metrics, self.clock
+            self._use, self.metrics, self.relay.invariants, self.clock
         )
         self.book = entry_peers.StatusBook(
             self.roster,
@@ -169,6 +169,7 @@
         self.engine_intake = beliefs_intake.EngineIntake(
             self.fleet, self._on_engines, self.metrics, self.clock
         )
+        self.relay.rows_read_at = lambda: self.followers[1].read_at
         self.followers = (
             store_watch.TableFollower(
                 wire.Field.OPERATOR_TABLE,
@@ -461,6 +462,11 @@
             )
             hosted.metrics.gauge("store_calls", hosted.rows.calls)
             hosted.metrics.gauge("probes", hosted.gateway.probes)
+            checks = hosted.relay.invariants
+            for name, count in checks.checks.items():
+                broken = checks.breaches[name]
+                hosted.metrics.gauge(f"invariant_checked_{name}", count)
+                hosted.metrics.gauge(f"invariant_broken_{name}", broken)
             response.content_type = "text/plain; version=0.0.4"
             response.text = hosted.metrics.text()
 
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -9,7 +9,14 @@
 
 from returns import pipeline, result
 
-from tamarackpier import codes, failures, logs, metrics, registry
+from tamarackpier import (
+    codes,
+    failures,
+    invariants,
+    logs,
+    metrics,
+    registry,
+)
 from tamarackpier.fleet import beliefs
 from tamarackpier.fleet import model as fleet_model
 from tamarackpier.routing import model as routing_model
@@ -87,7 +94,7 @@
         version: Version of the configuration that decided.
         tried: Engines that it was sent to.
         counted: Of these, the ones that may have run it and still live.
-        may_have_run: Whether any engine may have run it.
+        unproved: Sends of which it is not proved that they did not run.
         last: What the last attempt came to, for the log.
     """
 
@@ -101,9 +108,14 @@
     version: int
     tried: list[str] = dataclasses.field(default_factory=list)
     counted: int = 0
-    may_have_run: bool = False
+    unproved: int = 0
     last: str = ""
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any engine may have run it."""
+        return self.unproved > 0
+
 
 T = TypeVar("T")
 Strategy = Callable[["Relay", Run, caller.Caller], Awaitable[None]]
@@ -125,6 +137,8 @@
         scores: How engines of plain services answer.
         replica_scores: How replicas answer.
         budgets: Repeats by service.
+        invariants: Checks of what must always hold.
+        rows_read_at: Returns when the engines' rows were last read.
         on_trouble: Called with a replica whose lead failed an attempt.
         in_flight: Requests that have no final answer yet.
     """
@@ -151,6 +165,8 @@
         self.scores = score.Scores()
         self.replica_scores = score.Scores()
         self.budgets: dict[str, budget.WindowBudget] = {}
+        self.invariants = invariants.Invariants()
+        self.rows_read_at: Callable[[], float] = clock
         self.on_trouble: Callable[[fleet_model.Key], None] = lambda key: None
         self.instances = 1
         self.in_flight = 0
@@ -164,14 +180,18 @@
             asyncio.CancelledError: The caller has gone.
         """
         self.in_flight += 1
+        run = None
         try:
             run = await self._admit(request, to)
             strategy = STRATEGIES.get(run.route.kind.value)
             async with asyncio.timeout_at(run.ends_at):
                 await strategy(self, run, to)
         except RefusedError as error:
+            self._check_refusal(run, error.fault)
             return result.Failure(error.fault)
         except TimeoutError:
+            if run is None:
+                raise
             self.metrics.count("timeout", run.route.kind.value)
             code = (
                 codes.OUTCOME_UNKNOWN
@@ -183,6 +203,17 @@
             self.in_flight -= 1
         return result.Success(None)
 
+    def _check_refusal(self, run: Run | None, fault: codes.Fault) -> None:
+        """A status that says "not run" is told only where that is proved."""
+        if run is None or run.route.is_repeatable:
+            return
+        self.invariants.hold(
+            "refusal_is_true",
+            fault.code.outcome is not codes.Outcome.NOT_RUN
+            or not run.may_have_run,
+            lambda: f"{run.request.id}: {fault} after {run.tried}",
+        )
+
     def use(self, routing: table.Routing) -> None:
         """Takes a configuration into force."""
         self.routing = routing
@@ -330,6 +361,23 @@
             last_event_id,
         )
 
+    def log_sent(
+        self, run: Run, option: choose.Option, last_event_id: str
+    ) -> None:
+        """Logs an attempt with what decided it."""
+        logs.decision(
+            "sent",
+            request=run.request.id,
+            engine=option.engine.id,
+            replica=option.key.replica if option.key else "",
+            expected_s=round(option.expected_s, 4),
+            running=option.usage.running,
+            after=last_event_id,
+            version=run.version,
+            rows_age_s=round(self.clock() - self.rows_read_at(), 3),
+            left_s=round(run.ends_at - self.clock(), 3),
+        )
+
     def may_repeat(self, run: Run, reason: str) -> bool:
         """Decides whether a request may be sent once more, and counts it."""
         if len(run.tried) >= _MOST_SENDS:
@@ -404,14 +452,22 @@
     relay: Relay, run: Run, option: choose.Option, last_event_id: str = ""
 ) -> gateway.Answer:
     """Sends an attempt; returns an answer that is the engine's own."""
+    relay.invariants.hold(
+        "sent_once",
+        run.route.is_repeatable or not run.may_have_run,
+        lambda: f"{run.request.id} sent again after {run.tried}",
+    )
     run.tried.append(option.engine.id)
+    run.unproved += 1
     relay.metrics.count("attempt", run.route.kind.value)
+    relay.log_sent(run, option, last_event_id)
     try:
         answer = await relay.gateway.send(
             relay.forward(run, option, last_event_id)
         )
     except gateway.AnswerBrokenError as error:
-        raise _AttemptFailedError(
+        raise _attempt_failed(
+            run,
             "no_answer" if error.is_sent else "no_connection",
             str(error),
             not error.is_sent,
@@ -419,15 +475,23 @@
     problem = _check_answer(answer)
     if problem:
         answer.close()
-        raise _AttemptFailedError("bad_answer", problem, False)
+        raise _attempt_failed(run, "bad_answer", problem, False)
     if answer.is_not_run:
         answer.close()
-        raise _AttemptFailedError(
-            "not_run", f"the engine answered {answer.status}", True
-        )
+        detail = f"the engine answered {answer.status}"
+        raise _attempt_failed(run, "not_run", detail, True)
     return answer
 
 
+def _attempt_failed(
+    run: Run, reason: str, detail: str, is_not_run: bool
+) -> _AttemptFailedError:
+    """Returns the error of an attempt that got no answer of the engine's."""
+    if is_not_run:
+        run.unproved -= 1
+    return _AttemptFailedError(reason, detail, is_not_run)
+
+
 async def _whole_answer(
     relay: Relay, run: Run, option: choose.Option
 ) -> _Whole:
@@ -472,12 +536,10 @@
     """Sends a request again only where it is proved that it has not run."""
     while True:
         option = relay.pick(run)
-        run.may_have_run = True
         try:
             whole = await _whole_answer(relay, run, option)
             break
         except _AttemptFailedError as error:
-            run.may_have_run = not error.is_not_run
             if run.may_have_run:
                 raise RefusedError(
                     codes.fault(codes.OUTCOME_UNKNOWN, run.last)
@@ -538,7 +600,6 @@
 def _attempt(relay: Relay, run: Run) -> "asyncio.Task[_Whole]":
     option = relay.pick(run)
     run.counted += 1
-    run.may_have_run = True
     return asyncio.ensure_future(_whole_answer(relay, run, option))
 
 
@@ -572,10 +633,8 @@
     Raises:
         RefusedError: It may not.
     """
-    if not error.is_not_run:
-        run.may_have_run = True
-        if error.reason != "moved":
-            run.counted += 1
+    if not error.is_not_run and error.reason != "moved":
+        run.counted += 1
     allowed = run.route.is_resumable or error.is_not_run
     if allowed and relay.may_repeat(run, error.reason):
         return
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 from returns import pipeline
 
-from tamarackpier import codes, hosted_settings, metrics
+from tamarackpier import codes, hosted_settings, invariants, metrics
 from tamarackpier.daemon import beliefs_intake, evidence
 from tamarackpier.fleet import beliefs, model
 from tamarackpier.peer import roster as roster_lib
@@ -101,6 +101,7 @@
     intake = beliefs_intake.ConfigurationIntake(
         lambda routing: taken.append(routing.version),
         metrics.Metrics(),
+        invariants.Invariants(strict=True),
         lambda: 0.0,
     )
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -115,6 +115,7 @@
             random.Random(1),
             time.monotonic,
         )
+        found.invariants.strict = True
         found.use(
             table.create_routing(hosted_fixtures.configuration(routes=ROUTES))
         )
