--- a/tamarackpier/cli/main.py
+++ b/tamarackpier/cli/main.py
@@ -13,7 +13,7 @@
 
 from tamarackpier import codes
 from tamarackpier.cli import api as api_lib
-from tamarackpier.cli import load_command, tables
+from tamarackpier.cli import explain_command, load_command, tables
 from tamarackpier.request import identify
 from tamarackpier.sheet import parse
 
@@ -248,6 +248,7 @@
 
 
 main.add_command(load_command.load)
+main.add_command(explain_command.explain)
 
 
 def _explain(known: codes.ResultCode) -> dict[str, Any]:
--- a/tamarackpier/daemon/entry_peers.py
+++ b/tamarackpier/daemon/entry_peers.py
@@ -20,7 +20,7 @@
 _CALL_S = 0.4
 _FETCH_S = 1.0
 _TIMEOUTS_UNTIL_NEW_CHANNEL = 2
-_MOST_RECEIVED_SUSPEND_S = 2.0
+_MOST_RECEIVED_SUSPEND_S = 1.5
 _OPTIONS = (
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.min_reconnect_backoff_ms", 100),
--- a/tamarackpier/daemon/evidence.py
+++ b/tamarackpier/daemon/evidence.py
@@ -14,8 +14,10 @@
 __all__ = ["Prober", "Verdict", "judge"]
 
 _TRIES = 3
-_STAGGER_S = 0.05  # An answer takes 5 ms; a lost packet a second.
-_TRY_S = 0.15
+_STAGGER_S = 0.03  # An answer takes 5 ms; a lost packet a second.
+_TRY_S = 0.07
+_MOST_LAG_S = 0.04  # Of this process; beyond it, no answer proves nothing.
+_MOST_ROUNDS = 3
 _SUSPEND_S = 3.0  # The platform drops a dead engine's row after 3.6 s.
 _STUCK_S = 1.5  # Silence that is no slowness, though all members answer.
 _RECHECK_SILENT_S = 0.7
@@ -182,7 +184,18 @@
         return now - since > _STUCK_S * max(1.0, verdict.pace)
 
     async def _ask(self, engine: model.EngineRecord) -> Found:
-        """Asks one engine, again and again without waiting for lost packets."""
+        """Asks one engine; a round in which this process stalled is void."""
+        for _ in range(_MOST_ROUNDS):
+            started_at = self.clock()
+            found = await self._ask_round(engine)
+            took_s = self.clock() - started_at
+            limit_s = (_TRIES - 1) * _STAGGER_S + _TRY_S + _MOST_LAG_S
+            if pipeline.is_successful(found) or took_s < limit_s:
+                break
+        return found
+
+    async def _ask_round(self, engine: model.EngineRecord) -> Found:
+        """Asks again and again without waiting for lost packets."""
         tasks = [
             asyncio.ensure_future(self._try(engine, index * _STAGGER_S))
             for index in range(_TRIES)
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -38,7 +38,7 @@
 __all__ = ["Hosted", "create_hosted", "main"]
 
 _SETTINGS_VARIABLE = "TAMARACKPIER_SETTINGS"
-_TICK_S = 0.05
+_TICK_S = 0.025
 _PEER_PERIOD_S = 0.25
 _PLAN_PERIOD_S = 0.1
 _FANOUT = 8
--- a/tamarackpier/traffic/choose.py
+++ b/tamarackpier/traffic/choose.py
@@ -13,7 +13,15 @@
 from tamarackpier.routing import model as routing_model
 from tamarackpier.traffic import load
 
-__all__ = ["CHOOSERS", "Option", "Wish", "engine_options", "replica_options"]
+__all__ = [
+    "CHOOSERS",
+    "Option",
+    "Wish",
+    "engine_options",
+    "first_event_s",
+    "pass_s",
+    "replica_options",
+]
 
 _QUEUE_FACTOR = 1.5  # Requests per slot that a plain engine may hold.
 _ON_TIME_SHARE = 0.8  # Of the objective, for what is expected; rest is slack.
@@ -118,6 +126,14 @@
     return options
 
 
+def pass_s(
+    spec: routing_model.EngineSpec, kind: routing_model.ModelSpec
+) -> float:
+    """Returns the time of one pass of a replica with all slots in use."""
+    step_s = spec.step_s + spec.slots * spec.step_s_per_sequence
+    return kind.pace * spec.stride * step_s
+
+
 def first_event_s(
     spec: routing_model.EngineSpec,
     kind: routing_model.ModelSpec,
--- a/tamarackpier/traffic/flight.py
+++ b/tamarackpier/traffic/flight.py
@@ -13,7 +13,8 @@
 
 __all__ = ["Flight", "Flights"]
 
-_LEAST_SILENCE_S = 0.2  # Four passes of a replica with half its slots in use.
+_PASSES = 2.5  # Passes without an event, before members are asked.
+_LEAST_SILENCE_S = 0.03  # Two round trips between zones, and a busy loop.
 _READING_FACTOR = 2.0  # Allows for reading that other callers asked for.
 _RECHECK_S = 0.6  # After members were found to be well.
 
@@ -28,7 +29,8 @@
         engine: Id of the lead.
         scope: Ends the attempt when it is rescheduled.
         waiting_since: When it began to wait for bytes; None while it writes.
-        allowance_s: Expected time of reading prompts at the replica.
+        pass_s: Time of one pass of the replica, which sends one event.
+        reading_s: Expected time of reading prompts at the replica.
         moved: Why it has to go on elsewhere; empty while it has not.
     """
 
@@ -37,7 +39,8 @@
     engine: str
     scope: asyncio.Timeout
     waiting_since: float | None
-    allowance_s: float
+    pass_s: float
+    reading_s: float
     moved: str = ""
 
     def interrupt(self, reason: str) -> None:
@@ -104,5 +107,9 @@
         if flight.waiting_since is None:
             return -1.0
         since = max(flight.waiting_since, self.progress.get(flight.key, 0.0))
-        patience_s = _LEAST_SILENCE_S + _READING_FACTOR * flight.allowance_s
+        patience_s = (
+            _LEAST_SILENCE_S
+            + _PASSES * flight.pass_s
+            + _READING_FACTOR * flight.reading_s
+        )
         return now - since - patience_s
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -43,6 +43,8 @@
 _ANSWER_SLACK_S = 0.02  # To tell a caller before it stops waiting.
 _HEDGE_SHARE = 0.7  # Of the objective, before a second engine is asked.
 _FULL_RETRY_S = 0.3
+_RESUME_WAIT_S = 1.2  # Callers give a stream up after 2 s of silence.
+_RESUME_POLL_S = 0.05
 _LEAST_RETURN_S = 0.7
 _MOST_RETURN_S = 1.8
 _NEW_INSTANCE_RETRY_S = 0.3
@@ -316,7 +318,7 @@
                 lambda name: self.scores.failing(name, now),
             )
         untried = [each for each in options if each.engine.id not in run.tried]
-        roomy = [each for each in untried if each.has_room]
+        roomy = [each for each in untried if each.has_room or run.may_have_run]
         if roomy:
             chooser = choose.CHOOSERS.get(self.settings.chooser)
             return chooser(roomy, wish, self.rng)
@@ -608,14 +610,7 @@
     """Passes on a stream, going on at another replica where that is allowed."""
     stream = events.EventStream(run.request.last_event_id)
     while True:
-        try:
-            option = relay.pick(run)
-        except RefusedError as error:
-            if to.is_started or run.may_have_run:
-                raise RefusedError(
-                    codes.fault(codes.STREAM_INCOMPLETE, str(error))
-                ) from error
-            raise
+        option = await _pick_for_stream(relay, run, to)
         try:
             await _stream_attempt(relay, run, option, stream, to)
             return
@@ -625,6 +620,24 @@
             stream.resume()
 
 
+async def _pick_for_stream(
+    relay: Relay, run: Run, to: caller.Caller
+) -> choose.Option:
+    """Returns where a stream goes on; one that began waits for a replica."""
+    give_up_at = relay.clock() + _RESUME_WAIT_S
+    while True:
+        try:
+            return relay.pick(run)
+        except RefusedError as error:
+            if not to.is_started and not run.may_have_run:
+                raise
+            if relay.clock() >= give_up_at:
+                raise RefusedError(
+                    codes.fault(codes.STREAM_INCOMPLETE, str(error))
+                ) from error
+        await asyncio.sleep(_RESUME_POLL_S)
+
+
 async def _after_failed_stream(
     relay: Relay, run: Run, error: _AttemptFailedError, to: caller.Caller
 ) -> None:
@@ -655,15 +668,20 @@
             "no_replica", "the engine has no replica", True
         )
     spec = relay.spec(run.service)
-    reading = option.usage.reading_tokens + run.request.prompt_tokens
-    allowance_s = reading / spec.read_tokens_per_s if spec else 0.0
+    kind = spec.model(run.request.model) if spec else None
+    reading_s = pass_s = 0.0
+    if spec is not None and kind is not None:
+        reading = option.usage.reading_tokens + run.request.prompt_tokens
+        reading_s = kind.pace * reading / spec.read_tokens_per_s
+        pass_s = choose.pass_s(spec, kind)
     found = flight.Flight(
         run.request.id,
         option.key,
         option.engine.id,
         scope,
         relay.clock(),
-        allowance_s,
+        pass_s,
+        reading_s,
     )
     relay.flights.add(found)
     try:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -511,3 +511,35 @@
         assert wire.Header.PROOF.encode() in names
 
     _run(check)
+
+
+def test_a_stream_that_began_waits_for_a_replica_to_go_on_at():
+    async def first(arrival):
+        head = STREAM_HEAD.format(id="req-1")
+        head += "Transfer-Encoding: chunked\r\n\r\n"
+        await arrival.write(head.encode() + _chunk(_events(1, 3)))
+        await asyncio.sleep(0.05)
+        arrival.reset()
+
+    async def second(arrival):
+        head = STREAM_HEAD.format(id="req-1")
+        head += "Transfer-Encoding: chunked\r\n\r\n"
+        data = _chunk(_events(4, 6)) + b"0\r\n\r\n"
+        await arrival.write(head.encode() + data)
+
+    async def check():
+        async with (
+            rough_engine.serve_script(first) as (one, _),
+            rough_engine.serve_script(second) as (two, _),
+            _relay(_replica("r1", one)) as found,
+        ):
+            caller = _Caller()
+            work = asyncio.ensure_future(found.handle(_request(), caller))
+            await asyncio.sleep(0.4)
+            assert not work.done()
+            for each in _replica("r2", two):
+                found.fleet.put(each)
+            assert pipeline.is_successful(await work)
+        assert caller.data == _events(1, 6)
+
+    _run(check)
