Members leave one by one where their lead can't be told; budget after a restart

Cause: a lead that is cut off from everyone lives on after its row is gone, and its members joined other replicas without having left.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -88,6 +88,7 @@
         self.keepers: dict[str, zones.ZoneKeeper] = {}
         self._tasks: list[asyncio.Task[Any]] = []
         self._next_round = 0.0
+        self._enlisted = 0
         self._next_plan = 0.0
         self._behind_since: float | None = None
         self._fetching: asyncio.Task[None] | None = None
@@ -361,7 +362,9 @@
     def _round(self, now: float) -> None:
         self.roster.beat(self.is_ready, self.is_leaving)
         self.roster.expire(now)
-        self.relay.instances = 1 + len(self.roster.live(now))
+        if self._enlisted:
+            live = 1 + len(self.roster.live(now))
+            self.relay.instances = max(live, self._enlisted)
         self.relay.replica_loads.expire(now)
         self.relay.engine_loads.expire(now)
         self.relay.flights.expire(set(self.fleet.replicas()))
@@ -404,6 +407,7 @@
             if pipeline.is_successful(done) and pipeline.is_successful(found):
                 break
             await asyncio.sleep(self.rng.uniform(0.2, 0.6))
+        self._enlisted = len(found.unwrap())
         self.peers.contacts = tuple(
             {
                 *self.peers.contacts,
--- a/tamarackpier/fleet/form.py
+++ b/tamarackpier/fleet/form.py
@@ -336,9 +336,11 @@
     ) -> list[model.Order]:
         key = retiring.replica.key
         lead = retiring.replica.lead
-        current = self._current(lead, key, fleet)
-        if lead is None or current is None or retiring.lead_left:
+        if retiring.lead_left or self._has_left(lead, key, fleet):
             return self._release_members(retiring, fleet)
+        current = self._current(lead, key, fleet)
+        if current is None or current.id in fleet.silent:
+            return self._leave_one_by_one(retiring, fleet, now)
         if key in self.confirmed:
             retiring.is_graceful = False
         membership = current.membership
@@ -358,17 +360,41 @@
                     now,
                 )
             return []
-        targets = [current]
-        if current.id in fleet.silent:
-            targets += [
-                member
-                for member in self._survivors(retiring, fleet)
-                if member.id != current.id
-            ]
+        order = model.Order(
+            model.OrderKind.LEAVE, current, retiring.reason, key
+        )
+        return self._send(retiring.sent, order, now)
+
+    def _has_left(
+        self,
+        lead: model.EngineRecord | None,
+        key: model.Key,
+        fleet: beliefs.Fleet,
+    ) -> bool:
+        """Returns whether a lead itself says that it is in the replica no more.
+
+        A row that is gone says nothing: its engine may live, cut off from the
+        store, with its replica open.
+        """
+        found = fleet.engines.get(lead.id) if lead else None
+        if found is None or found.id in fleet.silent:
+            return False
+        return found.membership is None or found.membership.key != key
+
+    def _leave_one_by_one(
+        self, retiring: _Retiring, fleet: beliefs.Fleet, now: float
+    ) -> list[model.Order]:
+        """Has each member leave whose lead can't be told to."""
+        key = retiring.replica.key
+        staying = [
+            each
+            for each in self._survivors(retiring, fleet)
+            if self._released.get(each.id) != key
+        ]
+        if not staying:
+            return self._release_members(retiring, fleet)
         orders = []
-        for each in targets:
-            if self._released.get(each.id) == key:
-                continue
+        for each in staying:
             order = model.Order(
                 model.OrderKind.LEAVE, each, retiring.reason, key
             )
@@ -378,10 +404,11 @@
     def _release_members(
         self, retiring: _Retiring, fleet: beliefs.Fleet
     ) -> list[model.Order]:
-        """Frees the members of a replica whose lead has left or is gone."""
+        """Frees the members of a replica that its lead, or each, has left."""
         key = retiring.replica.key
         for _, member in retiring.replica.members:
-            if self._current(member, key, fleet) is not None:
+            current = self._current(member, key, fleet)
+            if current is not None and current.id not in fleet.silent:
                 self._released[member.id] = key
         del self.retiring[key]
         self.confirmed.discard(key)
@@ -503,8 +530,6 @@
             released = self._released.get(engine.id)
             if membership is not None and membership.key != released:
                 continue
-            if membership is not None and membership.key in self.retiring:
-                continue
             free[engine.domain].append(engine)
         return free
 
--- a/tamarackpier/standin/fabric.py
+++ b/tamarackpier/standin/fabric.py
@@ -31,7 +31,7 @@
         record: Its row as it would write it.
         is_alive: Whether it answers.
         died_at: When it stopped answering.
-        is_cut: Whether it lives but answers nobody.
+        cut_at: Since when it lives but reaches and answers nobody.
         fence_seen: Highest fencing number of a join.
         members: Engines of its replica, by rank.
         ready_at: When it finishes joining; None when it is not joining.
@@ -43,7 +43,7 @@
     record: model.EngineRecord
     is_alive: bool = True
     died_at: float = 0.0
-    is_cut: bool = False
+    cut_at: float | None = None
     fence_seen: int = 0
     members: tuple[str, ...] = ()
     ready_at: float | None = None
@@ -102,18 +102,32 @@
             engine.died_at = self.now
             self._note_loss(name)
 
+    def cut(self, name: str) -> None:
+        """Cuts an engine off; it lives on."""
+        self.engines[name].cut_at = self.now
+
+    def heal(self) -> None:
+        """Ends all cuts."""
+        for each in self.engines.values():
+            each.cut_at = None
+
     def rows(self) -> list[model.EngineRecord]:
         """Returns what the platform's store lists."""
         return [
             each.record
             for each in self.engines.values()
-            if each.is_alive or self.now - each.died_at < _ROW_LAPSE_S
+            if self.now - self._silent_since(each) < _ROW_LAPSE_S
         ]
 
+    def _silent_since(self, engine: FabricEngine) -> float:
+        if not engine.is_alive:
+            return engine.died_at
+        return self.now if engine.cut_at is None else engine.cut_at
+
     def answers(self, name: str) -> bool:
         """Returns whether an engine answers when it is asked."""
         engine = self.engines[name]
-        return engine.is_alive and not engine.is_cut
+        return engine.is_alive and engine.cut_at is None
 
     def serving(self, name: str) -> int:
         """Returns the replicas of a model that serve."""
--- a/tamarackpier/traffic/budget.py
+++ b/tamarackpier/traffic/budget.py
@@ -2,7 +2,9 @@
 
 Answers an outage: when much fails at once, repeats may add only a fixed share
 to the load on what is left. All instances share one bound; each keeps to its
-own requests and an even part of the constant, so none has to ask another.
+own requests and an even part of the constant, so none has to ask another. What
+a former life of the process spent is not known, so the constant part comes
+back only over the first window.
 """
 
 import collections
@@ -20,13 +22,17 @@
         ratio: Repeats for each request.
         extra: Repeats that are allowed beside, over all instances.
         window_s: Length of the window.
+        started_at: When the process started.
         instances: Instances that share `extra`.
     """
 
-    def __init__(self, ratio: float, extra: float, window_s: float) -> None:
+    def __init__(
+        self, ratio: float, extra: float, window_s: float, started_at: float
+    ) -> None:
         self.ratio = ratio
         self.extra = extra
         self.window_s = window_s
+        self.started_at = started_at
         self.instances = 1
         self._step_s = window_s / _STEPS
         self._buckets: collections.deque[list[float]] = collections.deque()
@@ -40,7 +46,9 @@
         bucket = self._bucket(now)
         requests = sum(each[1] for each in self._buckets)
         repeats = sum(each[2] for each in self._buckets)
-        allowed = self.ratio * requests + self.extra / self.instances
+        regained = min(1.0, (now - self.started_at) / self.window_s)
+        extra = self.extra * regained / self.instances
+        allowed = self.ratio * requests + extra
         if repeats + 1 > _SAFETY * allowed:
             return False
         bucket[2] += 1
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -43,6 +43,7 @@
 _ANSWER_SLACK_S = 0.02  # To tell a caller before it stops waiting.
 _HEDGE_SHARE = 0.7  # Of the objective, before a second engine is asked.
 _FULL_RETRY_S = 0.3
+_ASSUMED_INSTANCES = 16  # Sharing the retry budget, before any is heard of.
 _RESUME_WAIT_S = 1.2  # Callers give a stream up after 2 s of silence.
 _RESUME_POLL_S = 0.05
 _LEAST_RETURN_S = 0.7
@@ -97,6 +98,7 @@
         tried: Engines that it was sent to.
         counted: Of these, the ones that may have run it and still live.
         unproved: Sends of which it is not proved that they did not run.
+        has_begun: Whether the last attempt at a stream brought any event.
         last: What the last attempt came to, for the log.
     """
 
@@ -111,6 +113,7 @@
     tried: list[str] = dataclasses.field(default_factory=list)
     counted: int = 0
     unproved: int = 0
+    has_begun: bool = False
     last: str = ""
 
     @property
@@ -170,7 +173,8 @@
         self.invariants = invariants.Invariants()
         self.rows_read_at: Callable[[], float] = clock
         self.on_trouble: Callable[[fleet_model.Key], None] = lambda key: None
-        self.instances = 1
+        self.instances = _ASSUMED_INSTANCES
+        self.started_at = clock()
         self.in_flight = 0
 
     async def handle(
@@ -229,6 +233,7 @@
                 self.settings.retry_ratio,
                 self.settings.retry_extra,
                 self.settings.retry_window_s,
+                self.started_at,
             )
             self.budgets[service] = found
         found.instances = self.instances
@@ -646,7 +651,9 @@
     Raises:
         RefusedError: It may not.
     """
-    if not error.is_not_run and error.reason != "moved":
+    # A replica that stands still has not begun what it was sent since.
+    has_stood_still = error.reason == "moved" and not run.has_begun
+    if not error.is_not_run and not has_stood_still:
         run.counted += 1
     allowed = run.route.is_resumable or error.is_not_run
     if allowed and relay.may_repeat(run, error.reason):
@@ -718,6 +725,7 @@
 ) -> None:
     key = found.key
     unread = run.request.prompt_tokens
+    run.has_begun = False
     sent_at = relay.clock()
     relay.replica_loads.begin(key, unread)
     answer = None
@@ -732,6 +740,7 @@
             now = relay.clock()
             relay.flights.moved(key, now)
             found.waiting_since = None
+            run.has_begun = run.has_begun or bool(data)
             if unread and data:
                 relay.replica_loads.begun(key, unread)
                 unread = 0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -82,15 +82,15 @@
         ]
         if leads:
             name = self.rng.choice(leads)
-            self.fabric.engines[name].is_cut = True
+            self.fabric.cut(name)
             self.lost_at[name] = self.now
 
     def heal(self):
         for name, each in self.fabric.engines.items():
-            if each.is_cut:
-                each.is_cut = False
+            if each.cut_at is not None:
                 self.lost_at.pop(name, None)
                 self.fleet.silent.pop(name, None)
+        self.fabric.heal()
 
     def _send(self, order):
         if self.rng.random() < self.late_share:
@@ -181,33 +181,48 @@
     assert model.Key("r1", 1) not in planner.retiring
 
 
-def test_a_silent_lead_holds_its_members_while_its_row_stands():
+def test_a_silent_lead_s_members_are_used_once_each_has_left():
     records = hosted_fixtures.replica_records()
     spares = [
-        hosted_fixtures.record("s1", staged=("large",), model=""),
+        hosted_fixtures.record(f"s{index}", staged=("large",), model="")
+        for index in range(3)
     ]
     fleet = _fleet([*records, *spares])
     planner = _planner()
     fleet.silent["r1-0"] = 0.0
     planner.confirm(model.Key("r1", 1))
-    for step in range(20):
-        now = step * TICK_S
-        orders = planner.tick(fleet, {}, now)
-        assert all(each.kind is not model.OrderKind.JOIN for each in orders), (
-            orders
-        )
-    fleet.remove("r1-0", 2.0)
-    planner.tick(fleet, {}, 2.1)
-    orders = planner.tick(fleet, {}, 2.2)
+    leaves = planner.tick(fleet, {}, 0.0)
+    assert {(each.kind, each.engine.id) for each in leaves} == {
+        (model.OrderKind.LEAVE, "r1-1"),
+        (model.OrderKind.LEAVE, "r1-2"),
+        (model.OrderKind.LEAVE, "r1-3"),
+    }
+    fleet.remove("r1-0", 4.0)
+    orders = planner.tick(fleet, {}, 4.0)
+    assert all(each.kind is model.OrderKind.LEAVE for each in orders)
+    planner.settle(leaves[0], model.OrderOutcome.ACCEPTED, 4.1)
+    orders = planner.tick(fleet, {}, 4.5)
     joins = [each for each in orders if each.kind is model.OrderKind.JOIN]
-    assert {each.engine.id for each in joins} <= {
-        "r1-1",
-        "r1-2",
-        "r1-3",
+    assert {each.engine.id for each in joins} == {
+        leaves[0].engine.id,
+        "s0",
         "s1",
+        "s2",
     }
 
 
+def test_a_row_that_is_gone_does_not_mean_that_a_lead_has_left():
+    records = hosted_fixtures.replica_records()
+    fleet = _fleet(records)
+    planner = _planner()
+    fleet.remove("r1-0", 1.0)
+    orders = []
+    for step in range(30):
+        orders += planner.tick(fleet, {}, 1.0 + step * TICK_S)
+    kinds = {each.kind for each in orders}
+    assert kinds == {model.OrderKind.LEAVE}
+
+
 def test_deaths_late_orders_and_new_planners_never_break_a_promise():
     for seed in range(25):
         zone = _Zone(seed, late_share=0.1)
@@ -218,7 +233,7 @@
                 zone.replace_planner()
             if zone.rng.random() < 0.3:
                 zone.cut()
-            zone.run(zone.rng.uniform(0.5, 4.0))
+            zone.run(zone.rng.uniform(0.5, 8.0))
             zone.heal()
             zone.fabric.add(f"n{step}", "drafts", "zone-a", "d0")
         zone.late_share = 0.0
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -216,7 +216,7 @@
     )
 )
 def test_repeats_never_exceed_the_bound_in_any_window(steps):
-    found = budget.WindowBudget(0.2, 7.0, 10.0)
+    found = budget.WindowBudget(0.2, 7.0, 10.0, -10.0)
     now = 0.0
     requests, repeats = [], []
     for pause_s, is_repeat in steps:
@@ -236,13 +236,21 @@
 def test_instances_share_what_is_allowed_beside():
     spent = 0
     for _ in range(4):
-        found = budget.WindowBudget(0.2, 100.0, 10.0)
+        found = budget.WindowBudget(0.2, 100.0, 10.0, -10.0)
         found.instances = 4
         while found.spend(0.0):
             spent += 1
     assert spent <= 100
 
 
+def test_a_process_that_has_just_started_repeats_little():
+    found = budget.WindowBudget(0.2, 100.0, 10.0, 0.0)
+    spent = 0
+    while found.spend(1.0):
+        spent += 1
+    assert spent <= 10
+
+
 @FUZZ
 @hypothesis.given(
     strategies.integers(1, 12),
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -116,6 +116,7 @@
             time.monotonic,
         )
         found.invariants.strict = True
+        found.started_at -= 60.0
         found.use(
             table.create_routing(hosted_fixtures.configuration(routes=ROUTES))
         )
