--- a/tamarackpier/daemon/zones.py
+++ b/tamarackpier/daemon/zones.py
@@ -110,12 +110,10 @@
                     self._short_holder(),
                     lease.fence_base(held.number),
                     self.zone_count(),
-                    form.FormTiming(),
                     now,
                 )
                 self.planners[service.name] = planner
-            planner.spec = service.engine
-            planner.planner_count = max(1, self.zone_count())
+            planner.use(service.engine, self.zone_count())
             orders = planner.tick(self.fleet, self.running(), now)
             summary = planner.summary(self.fleet)
             if summary != self._summaries.get(service.name):
@@ -147,7 +145,7 @@
             planner = self.planners.get(first.service)
             if planner is None or first.availability_zone != self.zone:
                 continue
-            if key in planner.confirmed or key in planner.retiring:
+            if planner.is_settled(key):
                 continue
             self._verifying.add(key)
             task = asyncio.ensure_future(
@@ -186,7 +184,7 @@
             outcome=outcome.value,
             took_s=round(now - started_at, 4),
         )
-        planner.settle(order, outcome, now)
+        planner.settle(order, outcome)
         if order.kind is model.OrderKind.LEAVE and self.is_holding:
             self.plan()
 
--- a/tamarackpier/traffic/choose.py
+++ b/tamarackpier/traffic/choose.py
@@ -53,6 +53,14 @@
     has_room: bool
     failing: float = 0.0
 
+    @property
+    def upstream(self) -> str:
+        """What an attempt is made at: a replica, or a plain engine.
+
+        A replica that formed anew under the same lead is another upstream.
+        """
+        return self.key.replica if self.key is not None else self.engine.id
+
 
 @dataclasses.dataclass(frozen=True)
 class Wish:
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -44,7 +44,7 @@
 _HEDGE_SHARE = 0.7  # Of the objective, before a second engine is asked.
 _FULL_RETRY_S = 0.3
 _ASSUMED_INSTANCES = 16  # Sharing the retry budget, before any is heard of.
-_RESUME_WAIT_S = 1.2  # Callers give a stream up after 2 s of silence.
+_RESUME_WAIT_S = 1.7  # Callers give a stream up after 2 s of silence.
 _RESUME_POLL_S = 0.05
 _LEAST_RETURN_S = 0.7
 _MOST_RETURN_S = 1.8
@@ -95,7 +95,7 @@
         body: Its body.
         ends_at: When it gets its final answer at the latest.
         version: Version of the configuration that decided.
-        tried: Engines that it was sent to.
+        tried: Upstreams that it was sent to.
         counted: Of these, the ones that may have run it and still live.
         unproved: Sends of which it is not proved that they did not run.
         has_begun: Whether the last attempt at a stream brought any event.
@@ -322,7 +322,7 @@
                 ),
                 lambda name: self.scores.failing(name, now),
             )
-        untried = [each for each in options if each.engine.id not in run.tried]
+        untried = [each for each in options if each.upstream not in run.tried]
         roomy = [each for each in untried if each.has_room or run.may_have_run]
         if roomy:
             chooser = choose.CHOOSERS.get(self.settings.chooser)
@@ -464,7 +464,7 @@
         run.route.is_repeatable or not run.may_have_run,
         lambda: f"{run.request.id} sent again after {run.tried}",
     )
-    run.tried.append(option.engine.id)
+    run.tried.append(option.upstream)
     run.unproved += 1
     relay.metrics.count("attempt", run.route.kind.value)
     relay.log_sent(run, option, last_event_id)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -11,6 +11,7 @@
 from tamarackpier import codes, metrics
 from tamarackpier.daemon import evidence
 from tamarackpier.fleet import beliefs
+from tamarackpier.fleet import model as fleet_model
 from tamarackpier.platform import engines, wire
 from tamarackpier.routing import model as routing_model
 from tamarackpier.routing import table
@@ -544,3 +545,40 @@
         assert caller.data == _events(1, 6)
 
     _run(check)
+
+
+def test_a_replica_that_formed_anew_under_the_same_lead_is_another_upstream():
+    async def check():
+        async with _relay(_replica("r1", "127.0.0.1:1")) as found:
+            request = _request()
+            run = relay.Run(
+                request,
+                ROUTES[0],
+                "drafts",
+                "",
+                1,
+                b"",
+                request.deadline,
+                1,
+                tried=["r1"],
+            )
+            try:
+                found.pick(run)
+            except relay.RefusedError as error:
+                assert error.fault.code is codes.NO_REPLICA
+            else:
+                raise AssertionError("the replica was tried already")
+            anew = [
+                dataclasses.replace(
+                    each,
+                    membership=dataclasses.replace(
+                        each.membership, key=fleet_model.Key("r9", 9)
+                    ),
+                )
+                for each in _replica("r1", "127.0.0.1:1")
+            ]
+            for each in anew:
+                found.fleet.put(each)
+            assert found.pick(run).key.replica == "r9"
+
+    _run(check)
