--- a/tamarackpier/daemon/beliefs_intake.py
+++ b/tamarackpier/daemon/beliefs_intake.py
@@ -87,6 +87,8 @@
         fleet: What is believed.
         on_change: Called after each change.
         is_loaded: Whether the rows were read once.
+        rows: The rows' bytes by engine, for peers.
+        version: Version of the store up to which they were read.
     """
 
     def __init__(
@@ -101,20 +103,29 @@
         self.metrics = counts
         self.clock = clock
         self.is_loaded = False
+        self.rows: dict[str, bytes] = {}
+        self.version = 0
 
     def snapshot(self, changes: interfaces.Changes) -> None:
         """Takes all rows."""
         now = self.clock()
         records = [self._decode(each) for each in changes.rows]
         self.fleet.replace([each for each in records if each], now)
+        self.rows = {each.key: each.data for each in changes.rows if each.data}
+        self.version = changes.version
         self.is_loaded = True
-        logs.event("engines read", known=len(self.fleet.engines))
+        logs.decision("engines read", known=len(self.fleet.engines))
         self.on_change()
 
     def changes(self, changes: interfaces.Changes) -> None:
         """Takes the rows that changed."""
         now = self.clock()
+        self.version = changes.version
         for each in changes.rows:
+            if each.data is None:
+                self.rows.pop(each.key, None)
+            else:
+                self.rows[each.key] = each.data
             record = self._decode(each) if each.data is not None else None
             if record is None:
                 self._gone(each.key, now)
--- a/tamarackpier/daemon/entry_peers.py
+++ b/tamarackpier/daemon/entry_peers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 import grpc
@@ -12,6 +12,7 @@
 from tamarackpier.daemon import evidence
 from tamarackpier.fleet import beliefs, model
 from tamarackpier.peer import roster as roster_lib
+from tamarackpier.platform import interfaces
 from tamarackpier.traffic import load, relay
 from tamarackpier.wire import entry_pb2, entry_pb2_grpc
 
@@ -36,11 +37,13 @@
 
     Attributes:
         configuration_version: Version that it has in force.
+        engines_version: Version up to which it has read engines' rows.
         planned_zones: Zones that it plans.
         at: When it said so.
     """
 
     configuration_version: int
+    engines_version: int
     planned_zones: tuple[str, ...]
     at: float
 
@@ -59,6 +62,7 @@
         fleet: beliefs.Fleet,
         prober: evidence.Prober,
         version: Callable[[], int],
+        engines_version: Callable[[], int],
         planned_zones: Callable[[], list[str]],
         clock: Callable[[], float],
     ) -> None:
@@ -67,6 +71,7 @@
         self.fleet = fleet
         self.prober = prober
         self.version = version
+        self.engines_version = engines_version
         self.planned_zones = planned_zones
         self.clock = clock
         self.claims: dict[str, Claim] = {}
@@ -105,6 +110,7 @@
                 if each.silent or each.reason
             ],
             planned_zones=self.planned_zones(),
+            engines_version=self.engines_version(),
         )
 
     def take(self, status: entry_pb2.EntryStatus) -> None:
@@ -116,7 +122,10 @@
             now,
         )
         self.claims[sender] = Claim(
-            status.configuration_version, tuple(status.planned_zones), now
+            status.configuration_version,
+            status.engines_version,
+            tuple(status.planned_zones),
+            now,
         )
         self.relay.replica_loads.peer(
             sender,
@@ -160,11 +169,18 @@
 
     def ahead(self, version: int) -> str | None:
         """Returns a live peer with a newer configuration, or None."""
+        return self._newest(version, lambda each: each.configuration_version)
+
+    def ahead_in_engines(self, version: int) -> str | None:
+        """Returns a live peer with newer rows of engines, or None."""
+        return self._newest(version, lambda each: each.engines_version)
+
+    def _newest(self, version: int, of: Callable[[Claim], int]) -> str | None:
         live = {each.id for each in self.roster.live(self.clock())}
         found = [
-            (claim.configuration_version, name)
+            (of(claim), name)
             for name, claim in self.claims.items()
-            if name in live and claim.configuration_version > version
+            if name in live and of(claim) > version
         ]
         return max(found)[1] if found else None
 
@@ -176,13 +192,18 @@
         book: Makes and takes messages.
         configuration: Returns the configuration's bytes, as the operator
             wrote them.
+        engine_rows: Returns the bytes of engines' rows by id.
     """
 
     def __init__(
-        self, book: StatusBook, configuration: Callable[[], bytes]
+        self,
+        book: StatusBook,
+        configuration: Callable[[], bytes],
+        engine_rows: Callable[[], Mapping[str, bytes]],
     ) -> None:
         self.book = book
         self.configuration = configuration
+        self.engine_rows = engine_rows
 
     async def Exchange(  # noqa: N802
         self,
@@ -193,6 +214,21 @@
         self.book.take(request)
         return self.book.status()
 
+    async def FetchEngines(  # noqa: N802
+        self,
+        request: entry_pb2.FetchEnginesRequest,
+        context: grpc.aio.ServicerContext,
+    ) -> entry_pb2.FetchEnginesReply:
+        """Returns the engines' rows, if they are newer."""
+        version = self.book.engines_version()
+        if version <= request.have_version:
+            return entry_pb2.FetchEnginesReply(version=version)
+        rows = [
+            entry_pb2.EngineRow(id=name, data=data)
+            for name, data in self.engine_rows().items()
+        ]
+        return entry_pb2.FetchEnginesReply(version=version, rows=rows)
+
     async def FetchConfiguration(  # noqa: N802
         self,
         request: entry_pb2.FetchConfigurationRequest,
@@ -279,6 +315,27 @@
             )
         return result.Success(reply.configuration)
 
+    async def fetch_engines(
+        self, name: str, have_version: int
+    ) -> result.Result[interfaces.Changes, codes.Fault]:
+        """Fetches the engines' rows from a peer."""
+        known = self.book.roster.others.get(name)
+        if known is None:
+            return failures.failure(codes.PEER_UNAVAILABLE, name)
+        link = self._link(known[0].peer_address)
+        request = entry_pb2.FetchEnginesRequest(have_version=have_version)
+        try:
+            reply = await link.stub.FetchEngines(request, timeout=_FETCH_S)
+        except grpc.aio.AioRpcError as error:
+            return failures.failure(
+                codes.PEER_UNAVAILABLE, f"{name}: {error.code().name}"
+            )
+        rows = tuple(
+            interfaces.Change(each.id, reply.version, each.data)
+            for each in reply.rows
+        )
+        return result.Success(interfaces.Changes(rows, reply.version))
+
     async def close(self) -> None:
         """Closes all channels."""
         for link in self._links.values():
--- a/tamarackpier/daemon/evidence.py
+++ b/tamarackpier/daemon/evidence.py
@@ -21,6 +21,7 @@
 _SUSPEND_S = 3.0  # The platform drops a dead engine's row after 3.6 s.
 _STUCK_S = 1.5  # Silence that is no slowness, though all members answer.
 _RECHECK_SILENT_S = 0.7
+_DOUBT_GAP_S = 0.3  # Between rounds of questions that failures ask for.
 
 
 @dataclasses.dataclass(frozen=True)
@@ -30,11 +31,13 @@
     Attributes:
         silent: Members that did not answer.
         reason: Why the replica can't serve; empty if nothing speaks against.
+        is_lost: Whether it has to be formed anew.
         pace: The slowest member's pace.
     """
 
     silent: tuple[str, ...]
     reason: str
+    is_lost: bool
     pace: float
 
 
@@ -45,6 +48,7 @@
     """Decides from its members' answers whether a replica can serve."""
     silent = []
     reason = ""
+    closing = ""
     pace = 1.0
     for _, member in replica.members:
         answer = found[member.id]
@@ -60,9 +64,11 @@
             reason = f"{member.id} is in {membership.key.replica}"
         elif membership.state is model.MemberState.BROKEN:
             reason = f"{member.id} is broken"
+        elif membership.state is model.MemberState.CLOSING:
+            closing = f"{member.id} is closing"
     if silent:
         reason = f"{', '.join(silent)} did not answer"
-    return Verdict(tuple(silent), reason, pace)
+    return Verdict(tuple(silent), reason or closing, bool(reason), pace)
 
 
 class Prober:
@@ -119,6 +125,12 @@
             found.add_done_callback(lambda _: self.checking.pop(key, None))
         return found
 
+    def attempt_failed(self, key: model.Key) -> None:
+        """Doubts a replica whose lead failed an attempt, but not for each."""
+        since = self.clock() - self.flights.checked.get(key, float("-inf"))
+        if since > _DOUBT_GAP_S:
+            self.doubt(key, "an attempt failed")
+
     def suspend(self, suspension: beliefs.Suspension, source: str) -> bool:
         """Takes a suspension; moves streams if it is news."""
         if not self.fleet.suspend(suspension):
@@ -151,9 +163,13 @@
         now = self.clock()
         self.flights.checked[key] = now
         if not replica.is_complete and not verdict.reason:
-            verdict = dataclasses.replace(verdict, reason="a member is gone")
+            verdict = dataclasses.replace(
+                verdict, reason="a member is gone", is_lost=True
+            )
         if not verdict.reason and self._is_stuck(key, verdict, now):
-            verdict = dataclasses.replace(verdict, reason="nothing moves")
+            verdict = dataclasses.replace(
+                verdict, reason="nothing moves", is_lost=True
+            )
         for name in verdict.silent:
             self.fleet.silent.setdefault(name, now)
         logs.event(
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -46,6 +46,7 @@
 _FOLLOWER_GAP_S = 0.4  # Each read is priced; a fifth of what drains allow.
 _CONFIGURATION_GAP_S = 0.1
 _FETCH_PATIENCE_S = 0.3
+_ROWS_PATIENCE_S = 0.5  # Without the store, before peers' rows are taken.
 _KEEPALIVE_S = 1
 _STORE_CONNECTIONS = 16
 _INSTANCES_TABLE = "instance"
@@ -92,6 +93,7 @@
         self._next_plan = 0.0
         self._behind_since: float | None = None
         self._fetching: asyncio.Task[None] | None = None
+        self._fetching_engines: asyncio.Task[None] | None = None
         self._build_requests()
         self._build_peers(int(wall() * _MS_PER_S))
         self._build_followers()
@@ -119,7 +121,7 @@
             self.metrics,
             self.clock,
         )
-        self.relay.on_trouble = lambda key: self._doubt(key)
+        self.relay.on_trouble = self.prober.attempt_failed
 
     def _build_peers(self, incarnation: int) -> None:
         instance = self.settings.instance
@@ -146,6 +148,7 @@
             self.fleet,
             self.prober,
             lambda: self.configuration.version,
+            lambda: self.engine_intake.version,
             lambda: [
                 zone for zone, each in self.keepers.items() if each.is_holding
             ],
@@ -229,7 +232,9 @@
         self.peer_server = grpc.aio.server()
         entry_pb2_grpc.add_EntryServicer_to_server(
             entry_peers.EntryService(
-                self.book, lambda: self.configuration.data
+                self.book,
+                lambda: self.configuration.data,
+                lambda: self.engine_intake.rows,
             ),
             self.peer_server,
         )
@@ -302,9 +307,6 @@
             limits.header_bytes, limits.idle_timeout_s
         )
 
-    def _doubt(self, key: Any) -> None:
-        self.prober.doubt(key, "an attempt failed")
-
     def _engine_gap_s(self) -> float:
         is_planner = any(each.is_holding for each in self.keepers.values())
         return _PLANNER_GAP_S if is_planner else _FOLLOWER_GAP_S
@@ -371,6 +373,7 @@
         self.relay.scores.keep_only(set(self.fleet.engines))
         self.peers.round()
         self._catch_up(now)
+        self._catch_up_engines(now)
 
     def _catch_up(self, now: float) -> None:
         """Fetches the configuration from a peer that stays ahead."""
@@ -385,6 +388,31 @@
         if self._fetching is None or self._fetching.done():
             self._fetching = asyncio.ensure_future(self._fetch())
 
+    def _catch_up_engines(self, now: float) -> None:
+        """Takes engines' rows from a peer while the store turns us away."""
+        follower = self.followers[1]
+        is_late = now - follower.read_at > _ROWS_PATIENCE_S
+        if not (follower.is_lost and is_late):
+            return
+        if self._fetching_engines is None or self._fetching_engines.done():
+            self._fetching_engines = asyncio.ensure_future(
+                self._fetch_engines()
+            )
+
+    async def _fetch_engines(self) -> None:
+        version = self.engine_intake.version
+        name = self.book.ahead_in_engines(version)
+        if name is None:
+            return
+        found = await self.peers.fetch_engines(name, version)
+        if not pipeline.is_successful(found):
+            self.metrics.count("fetch_error", found.failure().code.name)
+            return
+        changes = found.unwrap()
+        if changes.rows and changes.version > self.engine_intake.version:
+            self.metrics.count("engines_from_peer")
+            self.engine_intake.snapshot(changes)
+
     async def _fetch(self) -> None:
         name = self.book.ahead(self.configuration.version)
         if name is None:
--- a/tamarackpier/daemon/zones.py
+++ b/tamarackpier/daemon/zones.py
@@ -159,7 +159,7 @@
     ) -> None:
         try:
             verdict = await self.prober.doubt(key, f"suspended: {reason}")
-            if verdict is not None and verdict.reason:
+            if verdict is not None and verdict.is_lost:
                 planner.confirm(key)
                 self.plan()
         finally:
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -466,3 +466,44 @@
     bad = SETTINGS.replace("ip = 10.1.0.40\n", "").replace("7340", "many")
     found = hosted_settings.from_text(bad + "[other]\nx = 1\n")
     assert fixtures.failure_numbers(found) == [1002, 1005, 1004]
+
+
+def test_a_lead_that_closes_gets_no_requests_but_is_not_lost():
+    records = hosted_fixtures.replica_records(state=model.MemberState.CLOSING)
+    replica = model.Replica(
+        model.Key("r1", 1), "large", 4, tuple(enumerate(records))
+    )
+    answers = {
+        each.id: evidence.result.Success(
+            model.EngineReport(each.id, each.membership, 0, 0, 1.0)
+        )
+        for each in records
+    }
+    found = evidence.judge(replica, answers)
+    assert found.reason == "r1-0 is closing"
+    assert not found.is_lost
+
+
+def test_many_failed_attempts_ask_a_replica_s_members_once():
+    asked = []
+
+    class Gateway:
+        async def report(self, engine, timeout_s):
+            asked.append(engine.id)
+            return evidence.result.Success(
+                model.EngineReport(engine.id, engine.membership, 0, 0, 1.0)
+            )
+
+    async def check():
+        fleet = beliefs.Fleet()
+        fleet.use_services(hosted_fixtures.services())
+        fleet.replace(hosted_fixtures.replica_records(), 0.0)
+        prober = evidence.Prober(
+            fleet, Gateway(), flight.Flights(), metrics.Metrics(), lambda: 5.0
+        )
+        for _ in range(10):
+            prober.attempt_failed(model.Key("r1", 1))
+            await asyncio.sleep(0.01)
+
+    asyncio.run(check())
+    assert sorted(asked) == ["r1-0", "r1-1", "r1-2", "r1-3"]
--- a/tests/test_hosted_whole.py
+++ b/tests/test_hosted_whole.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from tamarackpier import hosted_settings, logs
+from tamarackpier import codes, failures, hosted_settings, logs
 from tamarackpier.daemon import hosted as hosted_lib
 from tamarackpier.platform import edge, engines, wire
 from tamarackpier.routing import model as routing_model
@@ -325,3 +325,28 @@
         )
 
     _run(check)
+
+
+def test_an_instance_that_the_store_turns_away_hears_of_engines_from_a_peer():
+    async def check(world):
+        await world.until(lambda: all(world.serving()))
+        cut = world.instances[1]
+        follower = cut.followers[1]
+        follower.watch = _Refusing()
+        await world.until(lambda: follower.is_lost, 25.0)
+        await world.platform.add_engine("late", "drafts", "zone-a", "d0")
+        await world.until(lambda: "late" in cut.fleet.engines, 3.0)
+        world.platform.fabric.kill("late")
+        await world.until(lambda: "late" not in cut.fleet.engines, 6.0)
+
+    _run(check)
+
+
+class _Refusing:
+    """A store that turns this instance away."""
+
+    async def snapshot(self, table):
+        return failures.failure(codes.TABLE_UNAVAILABLE, "HTTP 503")
+
+    async def changes(self, table, after, wait_s):
+        return failures.failure(codes.TABLE_UNAVAILABLE, "HTTP 503")
