--- a/tamarackpier/daemon/evidence.py
+++ b/tamarackpier/daemon/evidence.py
@@ -32,6 +32,7 @@
         silent: Members that did not answer.
         reason: Why the replica can't serve; empty if nothing speaks against.
         is_lost: Whether it has to be formed anew.
+        queued: Requests that wait at its lead for a slot.
         pace: The slowest member's pace.
     """
 
@@ -39,6 +40,7 @@
     reason: str
     is_lost: bool
     pace: float
+    queued: int = 0
 
 
 Found = result.Result[model.EngineReport, codes.Fault]
@@ -50,13 +52,15 @@
     reason = ""
     closing = ""
     pace = 1.0
-    for _, member in replica.members:
+    queued = 0
+    for rank, member in replica.members:
         answer = found[member.id]
         if not pipeline.is_successful(answer):
             silent.append(member.id)
             continue
         report = answer.unwrap()
         pace = max(pace, report.pace)
+        queued += report.queued if rank == 0 else 0
         membership = report.membership
         if membership is None:
             reason = f"{member.id} is in no replica"
@@ -68,7 +72,7 @@
             closing = f"{member.id} is closing"
     if silent:
         reason = f"{', '.join(silent)} did not answer"
-    return Verdict(tuple(silent), reason or closing, bool(reason), pace)
+    return Verdict(tuple(silent), reason or closing, bool(reason), pace, queued)
 
 
 class Prober:
@@ -189,6 +193,13 @@
         return verdict
 
     def _is_stuck(self, key: model.Key, verdict: Verdict, now: float) -> bool:
+        """Returns whether nothing came for long, though all members answer.
+
+        Where requests queue, ours may be among them, and its silence says
+        nothing of those that run.
+        """
+        if verdict.queued:
+            return False
         waiting = [
             each.waiting_since
             for each in self.flights.by_key.get(key, ())
--- a/tamarackpier/daemon/zones.py
+++ b/tamarackpier/daemon/zones.py
@@ -21,6 +21,7 @@
 _ORDER_S = 0.3  # An order is answered within 10 ms; 35 times that.
 _RANK_DELAY_S = 0.8  # Between preferred contenders.
 _CONTEND_EVERY_S = 0.5
+_VERIFY_EVERY_S = 1.0  # Between rounds of questions on one suspension.
 _MOST_NAME = 40
 
 
@@ -71,6 +72,7 @@
         self._lease_task: asyncio.Task[None] | None = None
         self._orders: set[asyncio.Task[None]] = set()
         self._verifying: set[model.Key] = set()
+        self._verified_at: dict[model.Key, float] = {}
 
     @property
     def is_holding(self) -> bool:
@@ -136,7 +138,10 @@
         return self.holder.rpartition("/")[0][-_MOST_NAME:]
 
     def _verify(self) -> None:
-        """Asks about replicas that a peer found silent."""
+        """Asks about replicas that were suspended, here or by a peer."""
+        now = self.clock()
+        for key in set(self._verified_at) - set(self.fleet.suspended):
+            del self._verified_at[key]
         for key, suspension in self.fleet.suspended.items():
             replica = self.fleet.replicas().get(key)
             if replica is None or key in self._verifying:
@@ -147,6 +152,10 @@
                 continue
             if planner.is_settled(key):
                 continue
+            since = now - self._verified_at.get(key, float("-inf"))
+            if since < _VERIFY_EVERY_S:
+                continue
+            self._verified_at[key] = now
             self._verifying.add(key)
             task = asyncio.ensure_future(
                 self._confirm(planner, key, suspension.reason)
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -330,7 +330,7 @@
         if untried:
             raise _refused(
                 codes.UPSTREAMS_FULL,
-                f"all {len(untried)} engines are full",
+                _load_of(untried),
                 self._return_s(),
             )
         code = codes.NO_REPLICA if spec is not None else codes.NO_UPSTREAM
@@ -413,6 +413,14 @@
     return RefusedError(codes.fault(code, detail, retry_after_s=retry_after_s))
 
 
+def _load_of(options: list[choose.Option]) -> str:
+    """Returns how full each of some upstreams is."""
+    loads = ", ".join(
+        f"{each.usage.running}/{each.slots}" for each in options[:12]
+    )
+    return f"all {len(options)} are full or would be late: {loads}"
+
+
 def _value(found: result.Result[T, codes.Fault]) -> T:
     if not pipeline.is_successful(found):
         raise RefusedError(found.failure())
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -507,3 +507,35 @@
 
     asyncio.run(check())
     assert sorted(asked) == ["r1-0", "r1-1", "r1-2", "r1-3"]
+
+
+def test_a_request_that_queues_at_a_lead_does_not_make_its_replica_stuck():
+    async def check(queued):
+        class Gateway:
+            async def report(self, engine, timeout_s):
+                return evidence.result.Success(
+                    model.EngineReport(
+                        engine.id, engine.membership, 13, queued, 1.0
+                    )
+                )
+
+        fleet = beliefs.Fleet()
+        fleet.use_services(hosted_fixtures.services())
+        fleet.replace(hosted_fixtures.replica_records(), 0.0)
+        flights = flight.Flights()
+        prober = evidence.Prober(
+            fleet, Gateway(), flights, metrics.Metrics(), lambda: 10.0
+        )
+        key = model.Key("r1", 1)
+        found = flight.Flight("q", key, "e", Scope(), 8.0, 0.04, 0.0)
+        flights.add(found)
+        return await prober.doubt(key, "silent"), found.moved
+
+    class Scope:
+        def reschedule(self, when):
+            self.when = when
+
+    verdict, moved = asyncio.run(check(queued=3))
+    assert (verdict.reason, moved) == ("", "")
+    verdict, moved = asyncio.run(check(queued=0))
+    assert (verdict.reason, moved) == ("nothing moves", "nothing moves")
