--- /dev/null
+++ b/bench/hosted.py
@@ -0,0 +1,216 @@
+"""Slopes of a hosted instance's control: time and bytes against sizes.
+
+Prints one line for each slope: least squares over the sizes, and the largest
+distance of a measurement from its line as a share of the largest one.
+"""
+
+import dataclasses
+import json
+import random
+import statistics
+import time
+from collections.abc import Callable
+
+import click
+
+from tamarackpier.fleet import beliefs, form, model
+from tamarackpier.platform import decode, encode
+from tamarackpier.routing import model as routing_model
+from tamarackpier.wire import entry_pb2
+from tests import hosted_fixtures
+
+_REPEATS = 7
+
+
+@dataclasses.dataclass(frozen=True)
+class Slope:
+    """A line through measurements.
+
+    Attributes:
+        name: What was measured, with its unit.
+        against: What it grows with.
+        sizes: The sizes measured.
+        at_zero: The line's value at size 0.
+        each: What one more adds.
+        residual: Largest distance over the largest measurement.
+    """
+
+    name: str
+    against: str
+    sizes: tuple[int, ...]
+    at_zero: float
+    each: float
+    residual: float
+
+
+def _fit(
+    name: str,
+    against: str,
+    sizes: tuple[int, ...],
+    measure: Callable[[int], float],
+) -> Slope:
+    values = [measure(size) for size in sizes]
+    line = statistics.linear_regression(sizes, values)
+    off = [
+        abs(value - line.intercept - line.slope * size)
+        for size, value in zip(sizes, values, strict=True)
+    ]
+    return Slope(
+        name,
+        against,
+        sizes,
+        line.intercept,
+        line.slope,
+        max(off) / max(values),
+    )
+
+
+def _best_us(work: Callable[[], object]) -> float:
+    best = float("inf")
+    for _ in range(_REPEATS):
+        start = time.perf_counter()
+        work()
+        best = min(best, time.perf_counter() - start)
+    return best * 1e6
+
+
+def _records(count: int) -> list[model.EngineRecord]:
+    """Returns engines in domains of 64 with replicas of 16."""
+    found = []
+    for index in range(count):
+        replica = index // 16
+        key = model.Key(f"zone-a-entry-1-{replica}", replica + 1)
+        rank = index % 16
+        state = model.MemberState.READY if rank else model.MemberState.OPEN
+        found.append(
+            hosted_fixtures.record(
+                f"e{index}",
+                domain=f"d{index // 64}",
+                model="large",
+                staged=("large",),
+                membership=model.Membership(key, rank, state),
+            )
+        )
+    return found
+
+
+def _fleet(count: int) -> beliefs.Fleet:
+    spec = dataclasses.replace(
+        hosted_fixtures.SPEC,
+        models=(
+            dataclasses.replace(hosted_fixtures.MODELS[0], span=16),
+            hosted_fixtures.MODELS[1],
+        ),
+    )
+    fleet = beliefs.Fleet()
+    fleet.use_services({"drafts": routing_model.ServiceSpec("drafts", spec)})
+    fleet.replace(_records(count), 0.0)
+    return fleet
+
+
+def _plan_us(count: int) -> float:
+    fleet = _fleet(count)
+    planner = form.ZonePlanner(
+        "drafts", "zone-a", hosted_fixtures.SPEC, "entry-1", 1 << 20, 1, 0.0
+    )
+    return _best_us(lambda: planner.tick(fleet, {"large": 10}, 1.0))
+
+
+def _assemble_us(count: int) -> float:
+    fleet = _fleet(count)
+    record = fleet.engines["e0"]
+
+    def work() -> None:
+        fleet.put(record)
+        fleet.replicas()
+
+    return _best_us(work)
+
+
+def _serving_us(count: int) -> float:
+    fleet = _fleet(count)
+    return _best_us(lambda: fleet.serving("drafts", "large"))
+
+
+def _rows_us(count: int) -> float:
+    rows = [encode.engine_row(each) for each in _records(count)]
+    return _best_us(lambda: [decode.engine_record("e", row) for row in rows])
+
+
+def _configuration_us(count: int) -> float:
+    routes = tuple(
+        hosted_fixtures.route(name=f"r{index}", prefix=f"/p{index}/")
+        for index in range(count)
+    )
+    data = encode.configuration(hosted_fixtures.configuration(1, routes=routes))
+    return _best_us(lambda: decode.configuration(data))
+
+
+def _status_bytes(count: int) -> float:
+    rng = random.Random(1)
+    status = entry_pb2.EntryStatus(
+        others=[
+            entry_pb2.Presence(
+                id=f"front-zone-a-{index}",
+                incarnation=1_775_667_785_225,
+                beat=rng.randrange(100_000),
+                availability_zone="zone-a",
+                caller_address="10.1.0.40:8227",
+                peer_address="10.1.0.40:7340",
+                is_ready=True,
+            )
+            for index in range(count)
+        ]
+    )
+    return float(len(status.SerializeToString()))
+
+
+def _usage_bytes(count: int) -> float:
+    status = entry_pb2.EntryStatus(
+        replicas=[
+            entry_pb2.ReplicaUsage(
+                replica=f"zone-a-front-zone-a-1-{index}",
+                fence=(1 << 20) + index,
+                running=3,
+                reading_tokens=1400,
+            )
+            for index in range(count)
+        ]
+    )
+    return float(len(status.SerializeToString()))
+
+
+@click.command()
+@click.option("--json", "as_json", is_flag=True, help="Write JSON.")
+def main(as_json: bool) -> None:
+    """Measures and prints all slopes."""
+    engines = (64, 256, 1024, 2048)
+    small = (10, 50, 150, 330)
+    slopes = [
+        _fit("a plan, us", "engines of a zone", engines, _plan_us),
+        _fit("replicas put together, us", "engines", engines, _assemble_us),
+        _fit("replicas for a request, us", "engines", engines, _serving_us),
+        _fit("rows decoded, us", "engines", engines, _rows_us),
+        _fit(
+            "configuration decoded, us",
+            "routes",
+            (100, 400, 1600),
+            _configuration_us,
+        ),
+        _fit("presences, bytes", "entry instances", small, _status_bytes),
+        _fit("usage, bytes", "replicas in use", small, _usage_bytes),
+    ]
+    if as_json:
+        click.echo(json.dumps([dataclasses.asdict(each) for each in slopes]))
+        return
+    for each in slopes:
+        click.echo(
+            f"| {each.name} | {each.against} "
+            f"| {', '.join(str(size) for size in each.sizes)} "
+            f"| {each.at_zero:.4g} | {each.each:.4g} "
+            f"| {each.residual:.1%} |"
+        )
+
+
+if __name__ == "__main__":
+    main()
