Split the relay, the hosted instance and the planner by what they do

No behaviour changes: attempts, plain requests and streams are modules of their own, as are a replica on its way, what peers are asked for, the phases of a stop, the small applications and the program. Serving replicas are kept by model instead of searched for each request.

--- /dev/null
+++ b/tamarackpier/daemon/catch_up.py
@@ -0,0 +1,98 @@
+"""Takes from peers what the store does not tell this instance."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from returns import pipeline
+
+from tamarackpier import metrics
+from tamarackpier.daemon import beliefs_intake, entry_peers, store_watch
+
+__all__ = ["CatchUp"]
+
+_FETCH_PATIENCE_S = 0.3  # The store usually tells within 50 ms.
+_ROWS_PATIENCE_S = 0.5  # Without the store, before peers' rows are taken.
+
+
+class CatchUp:
+    """Fetches the configuration and the engines' rows from peers.
+
+    Attributes:
+        book: Knows which peers are ahead.
+        peers: Calls them.
+        configuration: Takes configurations.
+        engines: Takes engines' rows.
+        follower: Follows the engines' rows in the store.
+        metrics: Counts what was fetched, and failures.
+    """
+
+    def __init__(
+        self,
+        book: entry_peers.StatusBook,
+        peers: entry_peers.EntryPeers,
+        configuration: beliefs_intake.ConfigurationIntake,
+        engines: beliefs_intake.EngineIntake,
+        follower: store_watch.TableFollower,
+        counts: metrics.Metrics,
+    ) -> None:
+        self.book = book
+        self.peers = peers
+        self.configuration = configuration
+        self.engines = engines
+        self.follower = follower
+        self.metrics = counts
+        self._behind_since: float | None = None
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    def tick(self, now: float) -> None:
+        """Fetches what is due."""
+        if self._is_behind(now):
+            self._start("configuration", self._fetch_configuration)
+        if self._is_without_rows(now):
+            self._start("engines", self._fetch_engines)
+
+    def _is_behind(self, now: float) -> bool:
+        """Returns whether a peer has stayed ahead in its configuration."""
+        if self.book.ahead(self.configuration.version) is None:
+            self._behind_since = None
+            return False
+        if self._behind_since is None:
+            self._behind_since = now
+        if self.configuration.routing is None:
+            return True
+        return now - self._behind_since >= _FETCH_PATIENCE_S
+
+    def _is_without_rows(self, now: float) -> bool:
+        """Returns whether the store turns this instance away."""
+        if not self.follower.is_lost:
+            return False
+        return now - self.follower.read_at > _ROWS_PATIENCE_S
+
+    def _start(self, name: str, work: Callable[[], Awaitable[None]]) -> None:
+        task = self._tasks.get(name)
+        if task is None or task.done():
+            self._tasks[name] = asyncio.ensure_future(work())
+
+    async def _fetch_configuration(self) -> None:
+        name = self.book.ahead(self.configuration.version)
+        if name is None:
+            return
+        found = await self.peers.fetch(name)
+        if not pipeline.is_successful(found):
+            self.metrics.count("fetch_error", found.failure().code.name)
+        elif found.unwrap():
+            self.configuration.offer(found.unwrap(), f"peer {name}")
+
+    async def _fetch_engines(self) -> None:
+        version = self.engines.version
+        name = self.book.ahead_in_engines(version)
+        if name is None:
+            return
+        found = await self.peers.fetch_engines(name, version)
+        if not pipeline.is_successful(found):
+            self.metrics.count("fetch_error", found.failure().code.name)
+            return
+        changes = found.unwrap()
+        if changes.rows and changes.version > self.engines.version:
+            self.metrics.count("engines_from_peer")
+            self.engines.snapshot(changes)
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -1,43 +1,36 @@
 """An entry instance on the platform: the parts put together, start and stop."""
 
 import asyncio
-import os
-import pathlib
 import random
-import signal
-import socket
-import sys
 import time
 from collections.abc import Callable
 from typing import Any
 
 import aiohttp
-import click
-import falcon.asgi
 import grpc
 from returns import pipeline
 
 from tamarackpier import hosted_settings, logs, metrics
 from tamarackpier.daemon import (
     beliefs_intake,
+    catch_up,
     entry_peers,
     evidence,
     front,
-    http,
+    hosted_apps,
     serving,
     store_watch,
     zones,
 )
 from tamarackpier.fleet import beliefs
 from tamarackpier.peer import roster as roster_lib
-from tamarackpier.platform import edge, engines, interfaces, store, wire
+from tamarackpier.platform import engines, interfaces, store, wire
 from tamarackpier.routing import table
-from tamarackpier.traffic import relay
+from tamarackpier.traffic import factory, relay, stopping
 from tamarackpier.wire import entry_pb2_grpc
 
-__all__ = ["Hosted", "create_hosted", "main"]
+__all__ = ["Hosted", "create_hosted"]
 
-_SETTINGS_VARIABLE = "TAMARACKPIER_SETTINGS"
 _TICK_S = 0.025
 _PEER_PERIOD_S = 0.25
 _PLAN_PERIOD_S = 0.1
@@ -45,16 +38,8 @@
 _PLANNER_GAP_S = 0.05
 _FOLLOWER_GAP_S = 0.4  # Each read is priced; a fifth of what drains allow.
 _CONFIGURATION_GAP_S = 0.1
-_FETCH_PATIENCE_S = 0.3
-_ROWS_PATIENCE_S = 0.5  # Without the store, before peers' rows are taken.
-_KEEPALIVE_S = 1
-_STORE_CONNECTIONS = 16
 _INSTANCES_TABLE = "instance"
 _MS_PER_S = 1000
-# Shares of the grace of a planned stop; the platform kills at its end.
-_REFUSE_SHARE = 0.42
-_LEAST_STOP_SHARE = 0.5
-_MOST_STOP_SHARE = 0.95
 
 
 class Hosted:
@@ -91,9 +76,6 @@
         self._next_round = 0.0
         self._enlisted = 0
         self._next_plan = 0.0
-        self._behind_since: float | None = None
-        self._fetching: asyncio.Task[None] | None = None
-        self._fetching_engines: asyncio.Task[None] | None = None
         self._build_requests()
         self._build_peers(int(wall() * _MS_PER_S))
         self._build_followers()
@@ -101,7 +83,7 @@
 
     def _build_requests(self) -> None:
         bounds = self.settings.bounds
-        self.relay = relay.Relay(
+        self.relay = factory.create_relay(
             relay.RelaySettings(
                 self.settings.instance.availability_zone,
                 bounds.retry_ratio,
@@ -198,6 +180,14 @@
                 self.clock,
             ),
         )
+        self.catch_up = catch_up.CatchUp(
+            self.book,
+            self.peers,
+            self.configuration,
+            self.engine_intake,
+            self.followers[1],
+            self.metrics,
+        )
 
     def _build_listeners(self) -> None:
         listen = self.settings.listen
@@ -209,10 +199,20 @@
         metrics_port = listen.first_internal_port + 1
         self.listeners = (
             self.front_listener,
-            serving.HttpListener(_ready_app(self), listen.readiness, 60.0),
-            serving.HttpListener(_address_app(self), listen.addresses, 60.0),
             serving.HttpListener(
-                _metrics_app(self), f"{instance.ip}:{metrics_port}", 60.0
+                hosted_apps.ready_app(lambda: self.is_ready),
+                listen.readiness,
+                60.0,
+            ),
+            serving.HttpListener(
+                hosted_apps.address_app(self.addresses, self.address_keep_s),
+                listen.addresses,
+                60.0,
+            ),
+            serving.HttpListener(
+                hosted_apps.metrics_app(self.metrics_text),
+                f"{instance.ip}:{metrics_port}",
+                60.0,
             ),
         )
 
@@ -225,6 +225,30 @@
             and not self.is_leaving
         )
 
+    def addresses(self) -> list[str]:
+        """Returns where callers may connect."""
+        return self.roster.caller_addresses(self.clock())
+
+    def address_keep_s(self) -> float:
+        """Returns how long callers may keep an address."""
+        return self.settings.bounds.address_keep_s
+
+    def metrics_text(self) -> str:
+        """Returns all counters and latencies as text."""
+        gauges = {
+            "in_flight": self.relay.in_flight,
+            "configuration_version": self.configuration.version,
+            "store_calls": self.rows.calls,
+            "probes": self.gateway.probes,
+        }
+        checks = self.relay.invariants
+        for name, count in checks.checks.items():
+            gauges[f"invariant_checked_{name}"] = count
+            gauges[f"invariant_broken_{name}"] = checks.breaches[name]
+        for name, value in gauges.items():
+            self.metrics.gauge(name, value)
+        return self.metrics.text()
+
     async def start(self) -> None:
         """Opens the listeners and starts the periodic work."""
         for listener in self.listeners:
@@ -261,16 +285,14 @@
         await asyncio.gather(
             *(each.give_up() for each in self.keepers.values())
         )
-        while True:
+        phase = stopping.StopPhase.SERVES
+        while phase is not stopping.StopPhase.ENDS:
             await asyncio.sleep(_TICK_S)
-            share = (self.clock() - started_at) / grace_s
-            if share > _REFUSE_SHARE:
+            phase = stopping.stop_phase(
+                self.clock() - started_at, grace_s, self.relay.in_flight
+            )
+            if phase is not stopping.StopPhase.SERVES:
                 self.front.state.refuses = True
-            is_idle = self.relay.in_flight == 0
-            if share > _MOST_STOP_SHARE:
-                break
-            if share > _LEAST_STOP_SHARE and is_idle:
-                break
         logs.event(
             "stopped",
             cut_off=self.relay.in_flight,
@@ -372,56 +394,7 @@
         self.relay.flights.expire(set(self.fleet.replicas()))
         self.relay.scores.keep_only(set(self.fleet.engines))
         self.peers.round()
-        self._catch_up(now)
-        self._catch_up_engines(now)
-
-    def _catch_up(self, now: float) -> None:
-        """Fetches the configuration from a peer that stays ahead."""
-        if self.book.ahead(self.configuration.version) is None:
-            self._behind_since = None
-            return
-        if self._behind_since is None:
-            self._behind_since = now
-        is_first = self.configuration.routing is None
-        if not is_first and now - self._behind_since < _FETCH_PATIENCE_S:
-            return
-        if self._fetching is None or self._fetching.done():
-            self._fetching = asyncio.ensure_future(self._fetch())
-
-    def _catch_up_engines(self, now: float) -> None:
-        """Takes engines' rows from a peer while the store turns us away."""
-        follower = self.followers[1]
-        is_late = now - follower.read_at > _ROWS_PATIENCE_S
-        if not (follower.is_lost and is_late):
-            return
-        if self._fetching_engines is None or self._fetching_engines.done():
-            self._fetching_engines = asyncio.ensure_future(
-                self._fetch_engines()
-            )
-
-    async def _fetch_engines(self) -> None:
-        version = self.engine_intake.version
-        name = self.book.ahead_in_engines(version)
-        if name is None:
-            return
-        found = await self.peers.fetch_engines(name, version)
-        if not pipeline.is_successful(found):
-            self.metrics.count("fetch_error", found.failure().code.name)
-            return
-        changes = found.unwrap()
-        if changes.rows and changes.version > self.engine_intake.version:
-            self.metrics.count("engines_from_peer")
-            self.engine_intake.snapshot(changes)
-
-    async def _fetch(self) -> None:
-        name = self.book.ahead(self.configuration.version)
-        if name is None:
-            return
-        found = await self.peers.fetch(name)
-        if not pipeline.is_successful(found):
-            self.metrics.count("fetch_error", found.failure().code.name)
-        elif found.unwrap():
-            self.configuration.offer(found.unwrap(), f"peer {name}")
+        self.catch_up.tick(now)
 
     async def _enlist(self) -> None:
         """Makes this instance known in the store and reads who else is."""
@@ -448,77 +421,6 @@
         )
 
 
-def _ready_app(hosted: Hosted) -> Any:
-    class Readiness:
-        async def on_get(
-            self,
-            request: falcon.asgi.Request,
-            response: falcon.asgi.Response,
-        ) -> None:
-            response.status = 200 if hosted.is_ready else 503
-
-    app = falcon.asgi.App()
-    app.add_route(edge.READY_PATH, Readiness())
-    return app
-
-
-def _address_app(hosted: Hosted) -> Any:
-    class Addresses:
-        async def on_get(
-            self,
-            request: falcon.asgi.Request,
-            response: falcon.asgi.Response,
-        ) -> None:
-            found = hosted.roster.caller_addresses(hosted.clock())
-            if not found:
-                response.status = 503
-                return
-            keep_s = hosted.settings.bounds.address_keep_s
-            http.write_json(response, edge.address_answer(found, keep_s))
-
-    app = falcon.asgi.App()
-    app.add_route(edge.RESOLVE_PATH, Addresses())
-    return app
-
-
-def _metrics_app(hosted: Hosted) -> Any:
-    class Metrics:
-        async def on_get(
-            self,
-            request: falcon.asgi.Request,
-            response: falcon.asgi.Response,
-        ) -> None:
-            hosted.metrics.gauge("in_flight", hosted.relay.in_flight)
-            hosted.metrics.gauge(
-                "configuration_version", hosted.configuration.version
-            )
-            hosted.metrics.gauge("store_calls", hosted.rows.calls)
-            hosted.metrics.gauge("probes", hosted.gateway.probes)
-            checks = hosted.relay.invariants
-            for name, count in checks.checks.items():
-                broken = checks.breaches[name]
-                hosted.metrics.gauge(f"invariant_checked_{name}", count)
-                hosted.metrics.gauge(f"invariant_broken_{name}", broken)
-            response.content_type = "text/plain; version=0.0.4"
-            response.text = hosted.metrics.text()
-
-    app = falcon.asgi.App()
-    app.add_route("/metrics", Metrics())
-    return app
-
-
-def _store_socket(info: aiohttp.AddrInfoType) -> socket.socket:
-    """Returns a socket that notices a silent connection by itself."""
-    family, kind, protocol, _, _ = info
-    found = socket.socket(family, kind, protocol)
-    found.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    found.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_S)
-    found.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_S)
-    found.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
-    found.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2 * _MS_PER_S)
-    return found
-
-
 def create_hosted(
     settings: hosted_settings.HostedSettings,
     store_session: aiohttp.ClientSession,
@@ -533,68 +435,3 @@
         ),
         random.Random(),
     )
-
-
-async def _serve(path: pathlib.Path) -> None:
-    settings = _load(path)
-    loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    for name in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(name, stop.set)
-    store_session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=_STORE_CONNECTIONS, socket_factory=_store_socket
-        ),
-        cookie_jar=aiohttp.DummyCookieJar(),
-    )
-    async with store_session, engines.create_session() as engine_session:
-        hosted = create_hosted(settings, store_session, engine_session)
-
-        def reload() -> None:
-            found = hosted_settings.load(path)
-            if pipeline.is_successful(found):
-                hosted.reload(found.unwrap())
-            else:
-                logs.event("settings refused", faults=str(found.failure()))
-
-        loop.add_signal_handler(signal.SIGHUP, reload)
-        await hosted.start()
-        await stop.wait()
-        await hosted.leave()
-        await hosted.close()
-    logs.flush()
-
-
-def _load(path: pathlib.Path) -> hosted_settings.HostedSettings:
-    loaded = hosted_settings.load(path)
-    if not pipeline.is_successful(loaded):
-        faults = loaded.failure()
-        for fault in faults:
-            click.echo(str(fault), err=True)
-        sys.exit(faults[0].code.exit_status)
-    return loaded.unwrap()
-
-
-@click.command()
-@click.option(
-    "--settings",
-    "path",
-    type=click.Path(path_type=pathlib.Path),
-    help=f"INI file with the settings; else what ${_SETTINGS_VARIABLE} names.",
-)
-@click.option(
-    "--check-settings", is_flag=True, help="Check the settings and stop."
-)
-def main(path: pathlib.Path | None, check_settings: bool) -> None:
-    """Serves one entry instance on the platform until SIGTERM."""
-    named = path or pathlib.Path(os.environ.get(_SETTINGS_VARIABLE, ""))
-    settings = _load(named)
-    if check_settings:
-        click.echo(f"{named}: settings are good")
-        return
-    logs.configure(settings.instance.id, settings.instance.log_level)
-    asyncio.run(_serve(named))
-
-
-if __name__ == "__main__":
-    main()
--- a/tamarackpier/fleet/beliefs.py
+++ b/tamarackpier/fleet/beliefs.py
@@ -51,6 +51,7 @@
         self.span_of: dict[tuple[str, str], int] = {}
         self.trusted_from = 0.0
         self._replicas: dict[model.Key, model.Replica] | None = None
+        self._open: dict[tuple[str, str], list[model.Replica]] | None = None
         self._by_service: dict[str, list[model.EngineRecord]] | None = None
 
     def use_services(
@@ -132,12 +133,8 @@
         """Returns the replicas of a model that requests may go to."""
         return [
             each
-            for each in self.replicas().values()
-            if each.model == name
-            and each.is_open
-            and each.key not in self.suspended
-            and each.lead is not None
-            and each.lead.service == service
+            for each in self._open_replicas().get((service, name), [])
+            if each.key not in self.suspended
             and not any(member.id in self.silent for _, member in each.members)
         ]
 
@@ -151,6 +148,18 @@
             self._by_service = found
         return self._by_service.get(service, [])
 
+    def _open_replicas(
+        self,
+    ) -> Mapping[tuple[str, str], list[model.Replica]]:
+        if self._open is None:
+            found = collections.defaultdict(list)
+            for each in self.replicas().values():
+                lead = each.lead
+                if lead is not None and each.is_open:
+                    found[lead.service, each.model].append(each)
+            self._open = found
+        return self._open
+
     def _assemble(self) -> dict[model.Key, model.Replica]:
         members: dict[model.Key, dict[int, model.EngineRecord]] = {}
         for each in self.engines.values():
@@ -174,4 +183,5 @@
 
     def _forget_views(self) -> None:
         self._replicas = None
+        self._open = None
         self._by_service = None
--- a/tamarackpier/fleet/form.py
+++ b/tamarackpier/fleet/form.py
@@ -7,11 +7,10 @@
 """
 
 import collections
-import dataclasses
 from collections.abc import Mapping
 
 from tamarackpier.fleet import beliefs, demand, model, retire, stage
-from tamarackpier.fleet import sends as sends_lib
+from tamarackpier.fleet import forming as forming_lib
 from tamarackpier.routing import model as routing_model
 
 __all__ = ["ZonePlanner"]
@@ -26,33 +25,6 @@
 )
 
 
-@dataclasses.dataclass
-class Forming:
-    """A replica on its way.
-
-    Attributes:
-        key: Its name and fencing number.
-        spec: Its model.
-        members: Engines by rank.
-        incarnations: Their lives, as they were chosen.
-        since: Since when.
-        limit_s: How long it may take.
-        loads: Members that have to load weights.
-        joined: Members that have accepted their order to join.
-        sends: Orders sent.
-    """
-
-    key: model.Key
-    spec: routing_model.ModelSpec
-    members: tuple[str, ...]
-    incarnations: tuple[int, ...]
-    since: float
-    limit_s: float
-    loads: int = 0
-    joined: set[str] = dataclasses.field(default_factory=set)
-    sends: sends_lib.Sends = dataclasses.field(default_factory=sends_lib.Sends)
-
-
 class ZonePlanner:
     """Decides on the replicas of one service in one availability zone.
 
@@ -82,7 +54,7 @@
         self.spec = spec
         self.holder = holder
         self.next_fence = first_fence
-        self.forming: dict[model.Key, Forming] = {}
+        self.forming: dict[model.Key, forming_lib.Forming] = {}
         self.retirements = retire.Retirements(spec)
         self.staging = stage.Staging(spec, max(1, planner_count), now)
         self.demand = demand.Demand(spec, now)
@@ -220,7 +192,7 @@
         if spec is None:
             return
         engines = [each for _, each in replica.members]
-        self.forming[replica.key] = Forming(
+        self.forming[replica.key] = forming_lib.Forming(
             replica.key,
             spec,
             tuple(each.id for each in engines),
@@ -231,52 +203,17 @@
         )
 
     def _advance(
-        self, forming: Forming, fleet: beliefs.Fleet, now: float
+        self, forming: forming_lib.Forming, fleet: beliefs.Fleet, now: float
     ) -> list[model.Order]:
-        engines = self._present(forming, fleet)
-        if engines is None or now - forming.since > forming.limit_s:
+        orders = forming.orders(fleet, now)
+        if orders is None:
             self._give_up(forming)
             return []
-        states = [_state(each, forming.key) for each in engines]
-        if states[0] is model.MemberState.OPEN:
+        if forming.is_open(fleet):
             del self.forming[forming.key]
-            return []
-        if all(each is model.MemberState.READY for each in states):
-            order = model.Order(
-                model.OrderKind.OPEN, engines[0], "all ready", forming.key
-            )
-            return forming.sends.due(order, now)
-        orders = []
-        for engine, state in zip(engines, states, strict=True):
-            if state is None and engine.id not in forming.joined:
-                order = model.Order(
-                    model.OrderKind.JOIN,
-                    engine,
-                    "forming",
-                    forming.key,
-                    forming.spec.name,
-                    forming.members,
-                )
-                orders += forming.sends.due(order, now)
         return orders
 
-    def _present(
-        self, forming: Forming, fleet: beliefs.Fleet
-    ) -> list[model.EngineRecord] | None:
-        """Returns the members' rows; None if any can't be counted on."""
-        found = []
-        for name, incarnation in zip(
-            forming.members, forming.incarnations, strict=True
-        ):
-            engine = fleet.engines.get(name)
-            if engine is None or engine.is_leaving or name in fleet.silent:
-                return None
-            if engine.incarnation != incarnation:
-                return None
-            found.append(engine)
-        return found
-
-    def _give_up(self, forming: Forming) -> None:
+    def _give_up(self, forming: forming_lib.Forming) -> None:
         """Ends an attempt to form a replica.
 
         Its members are free at once if it was never told to open; otherwise
@@ -329,7 +266,7 @@
         engines: list[model.EngineRecord],
         loads: int,
         now: float,
-    ) -> Forming:
+    ) -> forming_lib.Forming:
         limit_s = _JOIN_SLACK_S + spec.warm_s
         if loads:
             others = self.staging.planner_count * spec.span
@@ -339,7 +276,7 @@
             f"{self.zone}-{self.holder}-{self.next_fence}", self.next_fence
         )
         self.next_fence += 1
-        forming = Forming(
+        forming = forming_lib.Forming(
             key,
             spec,
             tuple(each.id for each in engines),
@@ -432,15 +369,6 @@
     return all(retirements.is_released(each) for _, each in replica.members)
 
 
-def _state(
-    engine: model.EngineRecord, key: model.Key
-) -> model.MemberState | None:
-    membership = engine.membership
-    if membership is None or membership.key != key:
-        return None
-    return membership.state
-
-
 def _readiness(engine: model.EngineRecord, name: str) -> int:
     """Ranks an engine by how soon it can join a replica of a model."""
     if engine.model == name and name in engine.staged:
--- /dev/null
+++ b/tamarackpier/traffic/factory.py
@@ -0,0 +1,27 @@
+"""Puts the request pipeline together."""
+
+import random
+from collections.abc import Callable
+
+from tamarackpier import metrics
+from tamarackpier.fleet import beliefs
+
+# Importing these two fills the registry of strategies.
+from tamarackpier.traffic import plain as plain
+from tamarackpier.traffic import relay
+from tamarackpier.traffic import stream as stream
+from tamarackpier.upstream import gateway
+
+__all__ = ["create_relay"]
+
+
+def create_relay(
+    settings: relay.RelaySettings,
+    fleet: beliefs.Fleet,
+    engines: gateway.Gateway,
+    counts: metrics.Metrics,
+    rng: random.Random,
+    clock: Callable[[], float],
+) -> relay.Relay:
+    """Returns a relay that knows all kinds of routes."""
+    return relay.Relay(settings, fleet, engines, counts, rng, clock)
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -1,10 +1,9 @@
 """Takes a request from its arrival to its end."""
 
 import asyncio
-import contextlib
 import dataclasses
 import random
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 from returns import pipeline, result
@@ -25,27 +24,22 @@
     budget,
     caller,
     choose,
-    events,
     flight,
     load,
     model,
     score,
 )
+from tamarackpier.traffic import run as run_lib
 from tamarackpier.upstream import gateway
 
-__all__ = ["RefusedError", "Relay", "RelaySettings"]
+__all__ = ["FULL_RETRY_S", "STRATEGIES", "Relay", "RelaySettings"]
 
 _MOST_SENDS = 4  # Of one request, whatever its route allows.
 _BODY_TIMEOUT_S = 10.0
-_KEPT_BODY_BYTES = 1 << 18  # Answers up to this size are passed on whole.
-_DEFAULT_PRIORITY = 5
 _LOWEST_PRIORITY = 9
 _ANSWER_SLACK_S = 0.02  # To tell a caller before it stops waiting.
-_HEDGE_SHARE = 0.7  # Of the objective, before a second engine is asked.
-_FULL_RETRY_S = 0.3
+FULL_RETRY_S = 0.3
 _ASSUMED_INSTANCES = 16  # Sharing the retry budget, before any is heard of.
-_RESUME_WAIT_S = 1.7  # Callers give a stream up after 2 s of silence.
-_RESUME_POLL_S = 0.05
 _LEAST_RETURN_S = 0.7
 _MOST_RETURN_S = 1.8
 _NEW_INSTANCE_RETRY_S = 0.3
@@ -70,60 +64,8 @@
     chooser: str = "soonest"
 
 
-class RefusedError(Exception):
-    """Ends a request with an answer of our own.
-
-    Attributes:
-        fault: Why.
-    """
-
-    def __init__(self, fault: codes.Fault) -> None:
-        super().__init__(str(fault))
-        self.fault = fault
-
-
-@dataclasses.dataclass(eq=False)
-class Run:
-    """A request on its way.
-
-    Attributes:
-        request: The request.
-        route: Its route.
-        service: The service that runs it.
-        account: What engines are told of the caller.
-        priority: 0 is the most urgent.
-        body: Its body.
-        ends_at: When it gets its final answer at the latest.
-        version: Version of the configuration that decided.
-        tried: Upstreams that it was sent to.
-        counted: Of these, the ones that may have run it and still live.
-        unproved: Sends of which it is not proved that they did not run.
-        has_begun: Whether the last attempt at a stream brought any event.
-        last: What the last attempt came to, for the log.
-    """
-
-    request: model.Request
-    route: routing_model.Route
-    service: str
-    account: str
-    priority: int
-    body: bytes
-    ends_at: float
-    version: int
-    tried: list[str] = dataclasses.field(default_factory=list)
-    counted: int = 0
-    unproved: int = 0
-    has_begun: bool = False
-    last: str = ""
-
-    @property
-    def may_have_run(self) -> bool:
-        """Whether any engine may have run it."""
-        return self.unproved > 0
-
-
 T = TypeVar("T")
-Strategy = Callable[["Relay", Run, caller.Caller], Awaitable[None]]
+Strategy = Callable[["Relay", run_lib.Run, caller.Caller], Awaitable[None]]
 STRATEGIES: registry.Registry[Strategy] = registry.Registry("strategy")
 
 
@@ -192,7 +134,7 @@
             strategy = STRATEGIES.get(run.route.kind.value)
             async with asyncio.timeout_at(run.ends_at):
                 await strategy(self, run, to)
-        except RefusedError as error:
+        except run_lib.RefusedError as error:
             self._check_refusal(run, error.fault)
             return result.Failure(error.fault)
         except TimeoutError:
@@ -209,7 +151,9 @@
             self.in_flight -= 1
         return result.Success(None)
 
-    def _check_refusal(self, run: Run | None, fault: codes.Fault) -> None:
+    def _check_refusal(
+        self, run: run_lib.Run | None, fault: codes.Fault
+    ) -> None:
         """A status that says "not run" is told only where that is proved."""
         if run is None or run.route.is_repeatable:
             return
@@ -239,14 +183,16 @@
         found.instances = self.instances
         return found
 
-    async def _admit(self, request: model.Request, to: caller.Caller) -> Run:
+    async def _admit(
+        self, request: model.Request, to: caller.Caller
+    ) -> run_lib.Run:
         routing = self.routing
         limits = routing_model.Limits()
         if routing is not None:
             limits = routing.configuration.limits
         body = await to.body(limits.body_bytes, _BODY_TIMEOUT_S)
         if routing is None:
-            raise _refused(
+            raise run_lib.refused(
                 codes.NOT_CONFIGURED,
                 "no configuration has been read yet",
                 _NEW_INSTANCE_RETRY_S,
@@ -262,7 +208,7 @@
             request.deadline - _ANSWER_SLACK_S,
             request.arrived_at + route.timeout_s,
         )
-        return Run(
+        return run_lib.Run(
             request,
             route,
             service,
@@ -289,11 +235,11 @@
         found = self.routing.configuration.services.get(service)
         return found.engine if found else None
 
-    def pick(self, run: Run) -> choose.Option:
+    def pick(self, run: run_lib.Run) -> choose.Option:
         """Returns where to send the next attempt.
 
         Raises:
-            RefusedError: No engine can take it.
+            run_lib.RefusedError: No engine can take it.
         """
         now = self.clock()
         request = run.request
@@ -328,13 +274,13 @@
             chooser = choose.CHOOSERS.get(self.settings.chooser)
             return chooser(roomy, wish, self.rng)
         if untried:
-            raise _refused(
+            raise run_lib.refused(
                 codes.UPSTREAMS_FULL,
                 _load_of(untried),
                 self._return_s(),
             )
         code = codes.NO_REPLICA if spec is not None else codes.NO_UPSTREAM
-        raise _refused(
+        raise run_lib.refused(
             code,
             f"{len(options)} known, {len(run.tried)} tried",
             self._return_s(),
@@ -349,7 +295,7 @@
         return self.rng.uniform(_LEAST_RETURN_S, _MOST_RETURN_S)
 
     def forward(
-        self, run: Run, option: choose.Option, last_event_id: str
+        self, run: run_lib.Run, option: choose.Option, last_event_id: str
     ) -> gateway.Forward:
         """Returns what is sent to an engine."""
         request = run.request
@@ -369,7 +315,7 @@
         )
 
     def log_sent(
-        self, run: Run, option: choose.Option, last_event_id: str
+        self, run: run_lib.Run, option: choose.Option, last_event_id: str
     ) -> None:
         """Logs an attempt with what decided it."""
         logs.decision(
@@ -385,7 +331,7 @@
             left_s=round(run.ends_at - self.clock(), 3),
         )
 
-    def may_repeat(self, run: Run, reason: str) -> bool:
+    def may_repeat(self, run: run_lib.Run, reason: str) -> bool:
         """Decides whether a request may be sent once more, and counts it."""
         if len(run.tried) >= _MOST_SENDS:
             self.metrics.count("not_repeated", "most_sends")
@@ -407,12 +353,6 @@
         return True
 
 
-def _refused(
-    code: codes.ResultCode, detail: str, retry_after_s: float
-) -> RefusedError:
-    return RefusedError(codes.fault(code, detail, retry_after_s=retry_after_s))
-
-
 def _load_of(options: list[choose.Option]) -> str:
     """Returns how full each of some upstreams is."""
     loads = ", ".join(
@@ -423,390 +363,5 @@
 
 def _value(found: result.Result[T, codes.Fault]) -> T:
     if not pipeline.is_successful(found):
-        raise RefusedError(found.failure())
+        raise run_lib.RefusedError(found.failure())
     return found.unwrap()
-
-
-def _check_answer(answer: gateway.Answer) -> str:
-    """Returns why an answer can't be the engine's own; empty if it can."""
-    if answer.is_not_run:
-        return ""
-    if not answer.is_own:
-        return "the answer names another request"
-    if answer.status < 300 and not answer.is_proved:
-        return "the answer bears no proof"
-    if any(name == b"content-encoding" for name, _ in answer.headers):
-        return "the answer is encoded"
-    return ""
-
-
-class _AttemptFailedError(Exception):
-    """An attempt that gives the caller nothing.
-
-    Attributes:
-        reason: For counters.
-        is_not_run: Whether it is proved that the engine did not run it.
-    """
-
-    def __init__(self, reason: str, detail: str, is_not_run: bool) -> None:
-        super().__init__(f"{reason}: {detail}")
-        self.reason = reason
-        self.is_not_run = is_not_run
-
-
-@dataclasses.dataclass(frozen=True)
-class _Whole:
-    """An answer that was read to its end."""
-
-    status: int
-    headers: gateway.Headers
-    body: bytes
-
-
-async def _send(
-    relay: Relay, run: Run, option: choose.Option, last_event_id: str = ""
-) -> gateway.Answer:
-    """Sends an attempt; returns an answer that is the engine's own."""
-    relay.invariants.hold(
-        "sent_once",
-        run.route.is_repeatable or not run.may_have_run,
-        lambda: f"{run.request.id} sent again after {run.tried}",
-    )
-    run.tried.append(option.upstream)
-    run.unproved += 1
-    relay.metrics.count("attempt", run.route.kind.value)
-    relay.log_sent(run, option, last_event_id)
-    try:
-        answer = await relay.gateway.send(
-            relay.forward(run, option, last_event_id)
-        )
-    except gateway.AnswerBrokenError as error:
-        raise _attempt_failed(
-            run,
-            "no_answer" if error.is_sent else "no_connection",
-            str(error),
-            not error.is_sent,
-        ) from error
-    problem = _check_answer(answer)
-    if problem:
-        answer.close()
-        raise _attempt_failed(run, "bad_answer", problem, False)
-    if answer.is_not_run:
-        answer.close()
-        detail = f"the engine answered {answer.status}"
-        raise _attempt_failed(run, "not_run", detail, True)
-    return answer
-
-
-def _attempt_failed(
-    run: Run, reason: str, detail: str, is_not_run: bool
-) -> _AttemptFailedError:
-    """Returns the error of an attempt that got no answer of the engine's."""
-    if is_not_run:
-        run.unproved -= 1
-    return _AttemptFailedError(reason, detail, is_not_run)
-
-
-async def _whole_answer(
-    relay: Relay, run: Run, option: choose.Option
-) -> _Whole:
-    """Runs one attempt of a plain request."""
-    name = option.engine.id
-    started_at = relay.clock()
-    relay.engine_loads.begin(name)
-    try:
-        answer = await _send(relay, run, option)
-        try:
-            parts = []
-            while data := await answer.read():
-                parts.append(data)
-        except gateway.AnswerBrokenError as error:
-            raise _AttemptFailedError("cut_off", str(error), False) from error
-        finally:
-            answer.close()
-        now = relay.clock()
-        if answer.status >= 500:
-            relay.scores.fail(name, now)
-        else:
-            relay.scores.succeed(name, now - started_at, now)
-        return _Whole(answer.status, answer.headers, b"".join(parts))
-    except _AttemptFailedError as error:
-        run.last = f"{name}: {error}"
-        relay.scores.fail(name, relay.clock())
-        raise
-    finally:
-        relay.engine_loads.end(name)
-
-
-async def _deliver(to: caller.Caller, whole: _Whole) -> None:
-    headers = [each for each in whole.headers if each[0] != b"content-length"]
-    headers.append((b"content-length", b"%d" % len(whole.body)))
-    await to.start(whole.status, tuple(headers))
-    await to.write(whole.body)
-    await to.end()
-
-
-@STRATEGIES.register(routing_model.RouteKind.ONCE.value)
-async def _run_once(relay: Relay, run: Run, to: caller.Caller) -> None:
-    """Sends a request again only where it is proved that it has not run."""
-    while True:
-        option = relay.pick(run)
-        try:
-            whole = await _whole_answer(relay, run, option)
-            break
-        except _AttemptFailedError as error:
-            if run.may_have_run:
-                raise RefusedError(
-                    codes.fault(codes.OUTCOME_UNKNOWN, run.last)
-                ) from error
-            if not relay.may_repeat(run, error.reason):
-                raise _refused(
-                    codes.UPSTREAM_REFUSED, run.last, _FULL_RETRY_S
-                ) from error
-    await _deliver(to, whole)
-
-
-@STRATEGIES.register(routing_model.RouteKind.IDEMPOTENT.value)
-async def _run_idempotent(relay: Relay, run: Run, to: caller.Caller) -> None:
-    """Asks a second engine when the first fails or is slow."""
-    tasks: set[asyncio.Task[_Whole]] = set()
-    failed: _Whole | None = None
-    error: _AttemptFailedError | None = None
-    patience_s: float | None = run.route.objective_s * _HEDGE_SHARE
-    try:
-        tasks.add(_attempt(relay, run))
-        while tasks:
-            done, _ = await asyncio.wait(
-                tasks,
-                timeout=patience_s,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            reason = "slow"
-            for task in done:
-                tasks.discard(task)
-                try:
-                    whole = task.result()
-                except _AttemptFailedError as raised:
-                    error = raised
-                    reason = raised.reason
-                    if raised.is_not_run:
-                        run.counted -= 1
-                    continue
-                if whole.status < 500:
-                    await _deliver(to, whole)
-                    return
-                failed = whole
-                reason = "engine_failed"
-            patience_s = None
-            with contextlib.suppress(RefusedError):
-                if relay.may_repeat(run, reason):
-                    tasks.add(_attempt(relay, run))
-        if failed is not None:
-            await _deliver(to, failed)
-            return
-    finally:
-        for task in tasks:
-            task.cancel()
-    if error is not None and error.is_not_run and not run.counted:
-        raise _refused(codes.UPSTREAM_REFUSED, run.last, _FULL_RETRY_S)
-    raise RefusedError(codes.fault(codes.UPSTREAM_FAILED, run.last))
-
-
-def _attempt(relay: Relay, run: Run) -> "asyncio.Task[_Whole]":
-    option = relay.pick(run)
-    run.counted += 1
-    return asyncio.ensure_future(_whole_answer(relay, run, option))
-
-
-@STRATEGIES.register(routing_model.RouteKind.STREAM.value)
-async def _run_stream(relay: Relay, run: Run, to: caller.Caller) -> None:
-    """Passes on a stream, going on at another replica where that is allowed."""
-    stream = events.EventStream(run.request.last_event_id)
-    while True:
-        option = await _pick_for_stream(relay, run, to)
-        try:
-            await _stream_attempt(relay, run, option, stream, to)
-            return
-        except _AttemptFailedError as error:
-            run.last = f"{option.engine.id}: {error}"
-            await _after_failed_stream(relay, run, error, to)
-            stream.resume()
-
-
-async def _pick_for_stream(
-    relay: Relay, run: Run, to: caller.Caller
-) -> choose.Option:
-    """Returns where a stream goes on; one that began waits for a replica."""
-    give_up_at = relay.clock() + _RESUME_WAIT_S
-    while True:
-        try:
-            return relay.pick(run)
-        except RefusedError as error:
-            if not to.is_started and not run.may_have_run:
-                raise
-            if relay.clock() >= give_up_at:
-                raise RefusedError(
-                    codes.fault(codes.STREAM_INCOMPLETE, str(error))
-                ) from error
-        await asyncio.sleep(_RESUME_POLL_S)
-
-
-async def _after_failed_stream(
-    relay: Relay, run: Run, error: _AttemptFailedError, to: caller.Caller
-) -> None:
-    """Returns if the stream may go on elsewhere.
-
-    Raises:
-        RefusedError: It may not.
-    """
-    # A replica that stands still has not begun what it was sent since.
-    has_stood_still = error.reason == "moved" and not run.has_begun
-    if not error.is_not_run and not has_stood_still:
-        run.counted += 1
-    allowed = run.route.is_resumable or error.is_not_run
-    if allowed and relay.may_repeat(run, error.reason):
-        return
-    if to.is_started or run.may_have_run:
-        raise RefusedError(
-            codes.fault(codes.STREAM_INCOMPLETE, run.last)
-        ) from error
-    raise _refused(codes.UPSTREAM_REFUSED, run.last, _FULL_RETRY_S) from error
-
-
-@contextlib.contextmanager
-def _flight(
-    relay: Relay, run: Run, option: choose.Option, scope: asyncio.Timeout
-) -> Iterator[flight.Flight]:
-    """Counts an attempt of a stream in and out."""
-    if option.key is None:
-        raise _AttemptFailedError(
-            "no_replica", "the engine has no replica", True
-        )
-    spec = relay.spec(run.service)
-    kind = spec.model(run.request.model) if spec else None
-    reading_s = pass_s = 0.0
-    if spec is not None and kind is not None:
-        reading = option.usage.reading_tokens + run.request.prompt_tokens
-        reading_s = kind.pace * reading / spec.read_tokens_per_s
-        pass_s = choose.pass_s(spec, kind)
-    found = flight.Flight(
-        run.request.id,
-        option.key,
-        option.engine.id,
-        scope,
-        relay.clock(),
-        pass_s,
-        reading_s,
-    )
-    relay.flights.add(found)
-    try:
-        yield found
-    finally:
-        relay.flights.remove(found)
-
-
-async def _stream_attempt(
-    relay: Relay,
-    run: Run,
-    option: choose.Option,
-    stream: events.EventStream,
-    to: caller.Caller,
-) -> None:
-    """Runs one attempt of a stream to the end of the answer."""
-    try:
-        async with asyncio.timeout(None) as scope:
-            with _flight(relay, run, option, scope) as found:
-                await _pass_on(relay, run, option, stream, to, found)
-    except TimeoutError:
-        if not found.moved:
-            raise
-        raise _AttemptFailedError("moved", found.moved, False) from None
-
-
-async def _pass_on(
-    relay: Relay,
-    run: Run,
-    option: choose.Option,
-    stream: events.EventStream,
-    to: caller.Caller,
-    found: flight.Flight,
-) -> None:
-    key = found.key
-    unread = run.request.prompt_tokens
-    run.has_begun = False
-    sent_at = relay.clock()
-    relay.replica_loads.begin(key, unread)
-    answer = None
-    try:
-        answer = await _send(relay, run, option, stream.last_id)
-        if answer.status >= 300:
-            await _pass_on_failure(relay, run, answer, to)
-            return
-        while True:
-            found.waiting_since = relay.clock()
-            data = await answer.read()
-            now = relay.clock()
-            relay.flights.moved(key, now)
-            found.waiting_since = None
-            run.has_begun = run.has_begun or bool(data)
-            if unread and data:
-                relay.replica_loads.begun(key, unread)
-                unread = 0
-                relay.metrics.record("first_event", now - sent_at)
-                slowness = (now - sent_at) / max(option.expected_s, 1e-3)
-                relay.replica_scores.succeed(key.replica, slowness, now)
-            await _write(stream, data, answer, to)
-            if not data:
-                return
-    except gateway.AnswerBrokenError as error:
-        relay.on_trouble(key)
-        raise _AttemptFailedError("cut_off", str(error), False) from error
-    except events.StreamGapError as error:
-        raise _AttemptFailedError("gap", str(error), False) from error
-    except _AttemptFailedError as error:
-        if error.reason != "bad_answer":
-            relay.on_trouble(key)
-        raise
-    finally:
-        relay.replica_loads.end(key, unread)
-        if answer is not None:
-            answer.close()
-
-
-async def _write(
-    stream: events.EventStream,
-    data: bytes,
-    answer: gateway.Answer,
-    to: caller.Caller,
-) -> None:
-    """Passes on what an engine sent; no data marks the end."""
-    ready = stream.feed(data) if data else stream.rest()
-    if ready or not data:
-        if not to.is_started:
-            # Ours is made up of whole events, however the engine framed its.
-            headers = [
-                each for each in answer.headers if each[0] != b"content-length"
-            ]
-            await to.start(answer.status, tuple(headers))
-        if ready:
-            await to.write(ready)
-    if not data:
-        await to.end()
-
-
-async def _pass_on_failure(
-    relay: Relay, run: Run, answer: gateway.Answer, to: caller.Caller
-) -> None:
-    """Passes on an engine's own failure, or lets another engine try."""
-    parts = []
-    while data := await answer.read():
-        parts.append(data)
-    whole = _Whole(answer.status, answer.headers, b"".join(parts))
-    can_repeat = run.route.is_resumable and (
-        run.counted + 1 < run.route.max_attempts
-    )
-    if answer.status >= 500 and can_repeat or to.is_started:
-        raise _AttemptFailedError(
-            "engine_failed", f"HTTP {answer.status}", False
-        )
-    await _deliver(to, whole)
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -14,7 +14,15 @@
 from tamarackpier.peer import roster as roster_lib
 from tamarackpier.platform import decode, edge, interfaces, wire
 from tamarackpier.routing import table
-from tamarackpier.traffic import budget, choose, events, flight, load, score
+from tamarackpier.traffic import (
+    budget,
+    choose,
+    events,
+    flight,
+    load,
+    score,
+    stopping,
+)
 from tests import fixtures, hosted_fixtures
 
 FUZZ = hypothesis.settings(
@@ -539,3 +547,25 @@
     assert (verdict.reason, moved) == ("", "")
     verdict, moved = asyncio.run(check(queued=0))
     assert (verdict.reason, moved) == ("nothing moves", "nothing moves")
+
+
+def test_a_stop_serves_then_refuses_then_ends():
+    phases = [
+        stopping.stop_phase(since_s, 8.0, in_flight).value
+        for since_s, in_flight in (
+            (0.1, 0),
+            (3.0, 5),
+            (3.5, 5),
+            (4.5, 5),
+            (4.5, 0),
+            (7.7, 5),
+        )
+    ]
+    assert phases == [
+        "serves",
+        "serves",
+        "refuses",
+        "refuses",
+        "ends",
+        "ends",
+    ]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -16,7 +16,8 @@
 from tamarackpier.routing import model as routing_model
 from tamarackpier.routing import table
 from tamarackpier.standin import rough_engine
-from tamarackpier.traffic import model, relay
+from tamarackpier.traffic import factory, model, relay
+from tamarackpier.traffic import run as run_lib
 from tests import hosted_fixtures
 
 STREAM_HEAD = (
@@ -108,7 +109,7 @@
     fleet = beliefs.Fleet()
     async with engines.create_session() as session:
         gateway = engines.HttpGateway(session)
-        found = relay.Relay(
+        found = factory.create_relay(
             relay.RelaySettings("zone-a", 0.2, 100.0, 10.0),
             fleet,
             gateway,
@@ -551,7 +552,7 @@
     async def check():
         async with _relay(_replica("r1", "127.0.0.1:1")) as found:
             request = _request()
-            run = relay.Run(
+            run = run_lib.Run(
                 request,
                 ROUTES[0],
                 "drafts",
@@ -564,7 +565,7 @@
             )
             try:
                 found.pick(run)
-            except relay.RefusedError as error:
+            except run_lib.RefusedError as error:
                 assert error.fault.code is codes.NO_REPLICA
             else:
                 raise AssertionError("the replica was tried already")
