--- a/tamarackpier/explain.py
+++ b/tamarackpier/explain.py
@@ -172,6 +172,11 @@
     return found[-1] if found else None
 
 
+def _repeats(mine: list[Line]) -> str:
+    found = [each.get("reason") for each in mine if each.message == "repeat"]
+    return f"; repeated before for: {', '.join(found)}" if found else ""
+
+
 @CAUSES.register("1 refused")
 def _refused(mine: list[Line], near: list[Line]) -> str:
     line = _last(mine, "not answered")
@@ -181,10 +186,7 @@
     meaning = code.meaning if code else line.get("name")
     text = f"{line.get('code')} {line.get('name')}: {meaning}"
     text += f" ({line.get('detail')})"
-    repeats = [each for each in mine if each.message == "repeat"]
-    if repeats:
-        tries = ", ".join(each.get("reason") for each in repeats)
-        text += f"; repeated before for: {tries}"
+    text += _repeats(mine)
     suspended = [each for each in near if each.message == "replica suspended"]
     if suspended:
         text += f"; its replica was suspended: {suspended[0].get('reason')}"
@@ -196,7 +198,14 @@
     line = _last(mine, "caller gone")
     if line is None:
         return ""
-    return f"the caller left after {line.get('after_s')} s"
+    text = f"the caller left after {line.get('after_s')} s"
+    sent = _last(mine, "sent")
+    if sent is None:
+        return f"{text}, before any attempt"
+    waited_s = line.time - sent.time
+    place = sent.get("replica") or sent.get("engine")
+    text += f", {waited_s:.2f} s after an attempt at {place}"
+    return text + _repeats(mine)
 
 
 @CAUSES.register("3 engine failed")
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -66,7 +66,8 @@
         ]
         assert "e1 itself answered 500" in _run(folder, lines, "q1").output
         lines[1] = _line(1.1, "caller gone", request="q1", after_s=0.1)
-        assert "the caller left" in _run(folder, lines, "q1").output
+        found = _run(folder, lines, "q1").output
+        assert "the caller left after 0.1 s, 0.10 s after an attempt" in found
         assert "process ended" in _run(folder, lines[:1], "q1").output
 
     _with_logs(check)
