--- a/tamarackpier/daemon/node.py
+++ b/tamarackpier/daemon/node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import functools
 import math
 import random
 import time
@@ -13,11 +12,18 @@
 
 from tamarackpier import invariants, logs, metrics
 from tamarackpier import settings as settings_lib
-from tamarackpier.daemon import domains, gossip, loops, peers, sheets
+from tamarackpier.daemon import (
+    domain_keeper,
+    domains,
+    gossip,
+    loops,
+    peers,
+    sheets,
+)
 from tamarackpier.peer import addresses, membership
 from tamarackpier.platform import http as platform_http
 from tamarackpier.platform import interfaces
-from tamarackpier.replica import gate, model, policy, schedule
+from tamarackpier.replica import gate, policy
 from tamarackpier.request import (
     admit,
     dispatch,
@@ -35,10 +41,7 @@
 
 __all__ = ["Node", "create_node"]
 
-_CONTENDERS_PER_DOMAIN = 3
-_INTEREST_S = 5.0
 _LIST_AGE_FACTOR = 3
-_PARALLEL_LOADS = 8
 _REQUEST_TICK_S = 0.1
 _SWEEP_PERIOD_S = 30.0
 _MS_PER_S = 1000
@@ -61,8 +64,7 @@
         relay: Runs model calls.
         services: Runs calls of plain services.
         sweeper: Deletes records whose time is over.
-        watchers: The domains watched from here.
-        planners: The domains contended for from here.
+        domains: The domains watched and planned from here.
         listed: The platform's list, as last read.
         listed_at: When that was.
         refuses_new: Whether new requests are refused because it leaves.
@@ -92,12 +94,7 @@
         self.started_at = self.clock()
         self.listed: dict[str, interfaces.ListedInstance] = {}
         self.listed_at = self.started_at
-        self.watchers: dict[str, domains.DomainWatcher] = {}
-        self.planners: dict[str, domains.DomainPlanner] = {}
         self.refuses_new = False
-        self._interest: dict[str, float] = {}
-        self._divided: tuple[object, object] | None = None
-        self._division: dict[str, tuple[model.Target, ...]] = {}
         self._revision = 0
         self._revised_at = self.started_at
         self._is_leaving = False
@@ -121,7 +118,7 @@
             self.peer_client,
             self.sheets,
             lambda: self.listed.values(),
-            self._well_watched,
+            lambda: self.domains.well_watched(),
             self._revise,
             self.rng,
             self.clock,
@@ -147,7 +144,7 @@
         self.peer_service = peers.PeerService(
             self.members,
             self.quarantine,
-            self.evidence_of,
+            lambda domain: self.domains.evidence_of(domain),
             lambda: (self.sheets.sheet.version, self.sheets.encoded),
             lambda version, base, patch: self.sheets.announced(
                 version, base, patch
@@ -177,6 +174,20 @@
             self.invariants,
             self.clock,
         )
+        self.domains = domain_keeper.DomainKeeper(
+            self.settings,
+            self.tools,
+            self.policy,
+            self.members,
+            self.gate,
+            self._work,
+            lambda: self.listed,
+            lambda: self.sheets,
+            lambda: self._is_leaving,
+            f"{self.members.own.id}/{self.incarnation}",
+            self.clock,
+            self.wall,
+        )
 
     def _build_requests(
         self,
@@ -242,8 +253,12 @@
             loops.Periodic("instances", timing.instance_poll_s, self._list),
             loops.Periodic("peers", timing.peer_period_s, self._exchange),
             loops.Periodic("sheet", timing.sheet_poll_s, self._poll_sheet),
-            loops.Periodic("watch", timing.probe_period_s, self._watch),
-            loops.Periodic("plan", timing.probe_period_s, self._plan),
+            loops.Periodic(
+                "watch", timing.probe_period_s, lambda: self.domains.watch()
+            ),
+            loops.Periodic(
+                "plan", timing.probe_period_s, lambda: self.domains.plan()
+            ),
             loops.Periodic("requests", _REQUEST_TICK_S, self._tend_requests),
             loops.Periodic("records", 1.0, self.services.settle),
             loops.Periodic("sweep", _SWEEP_PERIOD_S, self._sweep),
@@ -264,7 +279,7 @@
         self._is_leaving = True
         self._revise()
         logs.event("leaving")
-        for planner in self.planners.values():
+        for planner in self.domains.planners.values():
             await planner.give_up()
         await self.gossip.tell_all()
         await asyncio.sleep(timing.address_keep_s + timing.peer_period_s)
@@ -280,7 +295,7 @@
         """Ends the periodic work."""
         self.cancel_work()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for watcher in self.watchers.values():
+        for watcher in self.domains.watchers.values():
             watcher.close()
         await self.peer_client.close()
 
@@ -318,45 +333,6 @@
                 found = found or row.version
         return found
 
-    def evidence_of(
-        self, domain: str
-    ) -> tuple[list[gate.Evidence], list[model.Replica]]:
-        """Returns what is known of a domain, and begins to watch it."""
-        self._interest[domain] = self.clock()
-        watcher = self.watchers.get(domain)
-        return watcher.evidence() if watcher else ([], [])
-
-    def capacities(self) -> list[schedule.DomainCapacity]:
-        """Returns each listed domain's capacity, as its planner says."""
-        self.members.note_statuses(self._domain_statuses())
-        listed = domains.by_domain(self.listed.values())
-        statuses = self.members.statuses
-        return [
-            schedule.DomainCapacity(
-                each.domain,
-                each.availability_zone,
-                each.listed,
-                each.usable,
-                each.holding,
-            )
-            for domain, each in sorted(statuses.items())
-            if domain in listed
-        ]
-
-    def scheduled(self) -> tuple[schedule.Scheduled, ...]:
-        """Returns when the loads of each demand begin."""
-        objective = self.settings.objective
-        budget = schedule.LoadBudget(
-            objective.load_s, _PARALLEL_LOADS, objective.lead_s
-        )
-        return schedule.backward(self.sheets.sheet.demands(), budget)
-
-    def shortfalls(self) -> tuple[schedule.Shortfall, ...]:
-        """Returns the events that will lack replicas."""
-        return schedule.shortfalls(
-            self.scheduled(), self.capacities(), self.wall()
-        )
-
     async def _list(self) -> None:
         listed = await self.instances.list()
         if not pipeline.is_successful(listed):
@@ -370,20 +346,6 @@
             if each.kind == interfaces.InstanceKind.ENTRY and each.is_leaving
         )
 
-    def _engines(self) -> dict[str, dict[str, interfaces.ListedInstance]]:
-        """Returns the listed engines by domain, with what peers know.
-
-        An instance that is cut off from the platform so learns from its
-        peers which engines are leaving.
-        """
-        leaving = self.members.leaving_engines(self.clock())
-        return domains.by_domain(
-            dataclasses.replace(each, is_leaving=True)
-            if each.id in leaving
-            else each
-            for each in self.listed.values()
-        )
-
     def _leaving_engines(self) -> frozenset[str]:
         """Returns the engines that a fresh list calls leaving."""
         age_s = self.clock() - self.listed_at
@@ -411,110 +373,6 @@
     async def _poll_sheet(self) -> None:
         await self.sheets.poll()
 
-    async def _watch(self) -> None:
-        now = self.clock()
-        for domain, engines in self._engines().items():
-            is_wanted = self._should_watch(domain, now)
-            if is_wanted:
-                if domain not in self.watchers:
-                    watcher = domains.DomainWatcher(domain, self.tools)
-                    self.watchers[domain] = watcher
-                self.watchers[domain].engines = engines
-            elif not is_wanted and domain in self.watchers:
-                self.watchers.pop(domain).close()
-                self.planners.pop(domain, None)
-        for watcher in self.watchers.values():
-            watcher.start_probes()
-            self._watch_domain(watcher)
-
-    def _watch_domain(self, watcher: domains.DomainWatcher) -> None:
-        planner = self.planners.get(watcher.domain)
-        is_planned_here = planner is not None and planner.is_holder
-        period_s = 2 * self.settings.timing.probe_period_s
-        if not is_planned_here and watcher.rows_are_due(period_s):
-            self._work.start(f"rows:{watcher.domain}", watcher.refresh_rows)
-        whole, broken = watcher.evidence()
-        for each in whole:
-            self.gate.add(each)
-        now = self.clock()
-        for lost in broken:
-            self.gate.close(lost.replica_id, lost.fence, now)
-
-    def _should_watch(self, domain: str, now: float) -> bool:
-        planner = self.planners.get(domain)
-        if planner is not None and planner.is_holder:
-            return True
-        if now - self._interest.get(domain, float("-inf")) < _INTEREST_S:
-            return True
-        return self._rank(domain, now) < gossip.WATCHERS_PER_DOMAIN
-
-    def _well_watched(self) -> list[str]:
-        """Returns the watched domains whose rows are known as they are now.
-
-        Peers are asked about the others: an instance that the table does not
-        answer would not know of replicas that were healed since.
-        """
-        return [
-            domain
-            for domain, watcher in self.watchers.items()
-            if watcher.has_fresh_rows()
-        ]
-
-    def _rank(self, domain: str, now: float) -> int:
-        ids = [each.id for each in self.members.live(now)]
-        if not self._is_leaving:
-            ids.append(self.members.own.id)
-        ranked = membership.rendezvous(domain, ids)
-        own = self.members.own.id
-        return ranked.index(own) if own in ranked else len(ranked)
-
-    async def _plan(self) -> None:
-        targets = self._targets()
-        if self._is_leaving:
-            return
-        for domain in self.watchers:
-            self._plan_domain(domain, targets.get(domain))
-
-    def _plan_domain(
-        self, domain: str, targets: tuple[model.Target, ...] | None
-    ) -> None:
-        now = self.clock()
-        rank = self._rank(domain, now)
-        planner = self.planners.get(domain)
-        if planner is None:
-            if rank >= _CONTENDERS_PER_DOMAIN:
-                return
-            planner = domains.DomainPlanner(
-                self.watchers[domain],
-                f"{self.members.own.id}/{self.incarnation}",
-                self.tools,
-            )
-            self.planners[domain] = planner
-        eagerness_s = rank * self.settings.timing.lease_s / 4
-        self._work.start(
-            f"lease:{domain}",
-            functools.partial(planner.keep_lease, eagerness_s),
-        )
-        # A planner that has just begun knows neither peers nor sheet well.
-        has_settled = now - self.started_at > self.settings.timing.suspect_s
-        if has_settled and self.sheets.sheet.version and targets is not None:
-            self._work.start(
-                f"plan:{domain}", functools.partial(planner.run, targets)
-            )
-
-    def _targets(self) -> dict[str, tuple[model.Target, ...]]:
-        """Returns what each domain should hold now.
-
-        The division is made anew only when what it depends on has changed,
-        since it takes long where there are many domains.
-        """
-        wanted = schedule.wanted_at(self.scheduled(), self.wall())
-        inputs = (wanted, self.capacities())
-        if inputs != self._divided:
-            self._divided = inputs
-            self._division = schedule.apportion(*inputs)
-        return self._division
-
     async def _tend_requests(self) -> None:
         self.relay.watch()
         now = self.clock()
@@ -568,7 +426,7 @@
             self._is_leaving,
             self.sheets.sheet.version if is_built else 0,
             self._rounded_demand() if is_built else {},
-            tuple(self._domain_statuses()) if is_built else (),
+            tuple(self.domains.statuses()) if is_built else (),
             self._leaving_engines() if is_built else frozenset(),
             self.members.silent if is_built else frozenset(),
         )
@@ -586,35 +444,6 @@
             if each.tokens_per_s >= _LEAST_DEMAND
         }
 
-    def _domain_statuses(self) -> list[membership.DomainStatus]:
-        return [
-            self._domain_status(planner)
-            for planner in self.planners.values()
-            if planner.is_holder and planner.watcher.has_settled()
-        ]
-
-    def _domain_status(
-        self, planner: domains.DomainPlanner
-    ) -> membership.DomainStatus:
-        watcher = planner.watcher
-        holding: dict[tuple[str, str, int], int] = {}
-        for replica in watcher.replicas.values():
-            if replica.state is model.ReplicaState.OPEN:
-                kind = (replica.model, replica.version, len(replica.members))
-                holding[kind] = holding.get(kind, 0) + 1
-        span = max((kind[2] for kind in holding), default=1)
-        found = watcher.view((), {})
-        zones = [each.availability_zone for each in watcher.engines.values()]
-        held = planner.held
-        return membership.DomainStatus(
-            watcher.domain,
-            zones[0] if zones else "",
-            len(watcher.engines),
-            found.usable_count(self.policy.patience_s(span)),
-            holding,
-            held.number if held is not None else 0,
-        )
-
     def _is_owner_live(self, owner: str) -> bool:
         """Returns whether the process that wrote a record still runs."""
         instance_id, _, incarnation = owner.partition("/")
--- a/tamarackpier/daemon/operators.py
+++ b/tamarackpier/daemon/operators.py
@@ -88,7 +88,7 @@
                 "sheet_in_force_at": node.sheets.in_force_at,
                 "domains_planned": sorted(
                     domain
-                    for domain, planner in node.planners.items()
+                    for domain, planner in node.domains.planners.items()
                     if planner.is_holder
                 ),
                 "peers": self._peers(),
@@ -159,10 +159,10 @@
         node = self.node
         short = {
             (each.demand.event, each.demand.model): each
-            for each in node.shortfalls()
+            for each in node.domains.shortfalls()
         }
         events = []
-        for each in node.scheduled():
+        for each in node.domains.scheduled():
             document = dataclasses.asdict(each.demand)
             document["load_from"] = each.load_from
             document["serving"] = len(
--- a/tamarackpier/standin/faults.py
+++ b/tamarackpier/standin/faults.py
@@ -151,7 +151,7 @@
     domains = world.spec.domains
     domain = domains[choice % len(domains)].name
     for each in world.live_entries():
-        planner = each.node.planners.get(domain)
+        planner = each.node.domains.planners.get(domain)
         if planner is not None and planner.is_holder:
             return each.name
     return ""
--- a/tamarackpier/standin/scenario.py
+++ b/tamarackpier/standin/scenario.py
@@ -405,7 +405,8 @@
     found = [
         each.name
         for each in world.live_entries()
-        if domain in each.node.planners and each.node.planners[domain].is_holder
+        if domain in each.node.domains.planners
+        and each.node.domains.planners[domain].is_holder
     ]
     return found == [name] or found
 
