--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BENCH := $(VENV)/.bench-installed
 SEED ?= 1
 
-.PHONY: demo test lint types bench bench-replicas bench-requests bench-spread bench-capacity rough soak wire clean
+.PHONY: demo test lint types bench bench-hosted bench-replicas bench-requests bench-spread bench-capacity rough soak wire clean
 
 $(PY):
 	python3 -m venv $(VENV)
@@ -48,6 +48,9 @@
 bench-spread: $(BENCH)
 	$(PY) -m bench.spread
 
+bench-hosted: $(DEV)
+	$(PY) -m bench.hosted
+
 bench-replicas: $(BENCH)
 	$(PY) -m bench.replicas
 
