Loops go on after a failure of ours; store answers of any form; streams of plain services

Found by reading and by fuzzing the store's client: an answer without rows, or an exception in a tick, would have ended the following of a table or all periodic work for good; a stream of a service without replicas was refused.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import grpc
+from absl import logging
 from returns import pipeline
 
 from tamarackpier import hosted_settings, logs, metrics
@@ -363,7 +364,12 @@
 
     async def _run_ticks(self) -> None:
         while True:
-            self.tick()
+            try:
+                self.tick()
+            except Exception:
+                # The instance goes on serving; the next tick tries again.
+                self.metrics.count("loop_error", "tick")
+                logging.exception("a tick failed")
             await asyncio.sleep(_TICK_S)
 
     def tick(self) -> None:
--- a/tamarackpier/daemon/store_watch.py
+++ b/tamarackpier/daemon/store_watch.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+from absl import logging
 from returns import pipeline, result
 
 from tamarackpier import codes, logs, metrics
@@ -60,22 +61,31 @@
     async def run(self) -> None:
         """Follows the table until it is cancelled."""
         while True:
-            if self._after is None:
-                found = await self.watch.snapshot(self.table)
-                take = self.on_snapshot
-            else:
-                found = await self.watch.changes(
-                    self.table, self._after, _WAIT_S
-                )
-                take = self.on_changes
-            if pipeline.is_successful(found):
-                self._regained()
-                changes = found.unwrap()
-                self._after = changes.version
-                take(changes)
-                await asyncio.sleep(self.gap_s())
-            else:
-                await self._failed(found)
+            try:
+                await self.step()
+            except Exception:
+                # What was read may be half taken, so it is read anew.
+                self.metrics.count("loop_error", self.table)
+                logging.exception("following table %r failed", self.table)
+                self._after = None
+                await asyncio.sleep(_MOST_DELAY_S)
+
+    async def step(self) -> None:
+        """Reads what changed once, and takes it."""
+        if self._after is None:
+            found = await self.watch.snapshot(self.table)
+            take = self.on_snapshot
+        else:
+            found = await self.watch.changes(self.table, self._after, _WAIT_S)
+            take = self.on_changes
+        if not pipeline.is_successful(found):
+            await self._failed(found)
+            return
+        self._regained()
+        changes = found.unwrap()
+        take(changes)
+        self._after = changes.version
+        await asyncio.sleep(self.gap_s())
 
     async def _failed(
         self, found: result.Result[interfaces.Changes, codes.Fault]
--- a/tamarackpier/platform/store.py
+++ b/tamarackpier/platform/store.py
@@ -17,6 +17,7 @@
 _GONE = 410
 _TOO_MANY = 429
 _PAGE_ROWS = 500
+_MALFORMED = (KeyError, TypeError, ValueError, AttributeError, IndexError)
 _FEED_SLACK_S = 1.5  # Beyond the wait itself, before a feed counts as lost.
 
 
@@ -49,9 +50,12 @@
             page = await self._get(wire.Path.ROWS_GET, query, self.timeout_s)
             if not pipeline.is_successful(page):
                 return page
-            rows = [each for each in page.unwrap()["rows"]]
-            is_there = bool(rows) and rows[0]["key"] == name
-            found[key] = _own_row(key, rows[0] if is_there else None)
+            try:
+                rows = page.unwrap()["rows"]
+                is_there = bool(rows) and rows[0]["key"] == name
+                found[key] = _own_row(key, rows[0] if is_there else None)
+            except _MALFORMED as error:
+                return _malformed(error)
         return result.Success(found)
 
     async def scan(
@@ -88,10 +92,17 @@
             return failures.failure(
                 codes.TABLE_CONFLICT, data.decode(errors="replace")
             )
-        return _parsed(status, data).map(
-            lambda found: {
-                each.key: int(found["ver"]) for each in transaction.writes
-            }
+        parsed = _parsed(status, data)
+        if not pipeline.is_successful(parsed):
+            return parsed
+        try:
+            version = int(parsed.unwrap()["ver"])
+        except _MALFORMED as error:
+            return failures.failure(
+                codes.TABLE_ANSWER_LOST, failures.describe(error)
+            )
+        return result.Success(
+            {each.key: version for each in transaction.writes}
         )
 
     async def snapshot(
@@ -99,10 +110,8 @@
     ) -> result.Result[interfaces.Changes, codes.Fault]:
         """Returns all rows of a table."""
         found = await self._pages(table)
-        return found.map(
-            lambda pages: interfaces.Changes(
-                tuple(_change(row) for row in pages[0]), pages[1]
-            )
+        return found.bind(
+            lambda pages: _changes({"rows": pages[0], "ver": pages[1]})
         )
 
     async def changes(
@@ -117,11 +126,7 @@
         found = await self._get(
             wire.Path.ROWS_FEED, query, wait_s + _FEED_SLACK_S
         )
-        return found.map(
-            lambda page: interfaces.Changes(
-                tuple(_change(row) for row in page["rows"]), int(page["ver"])
-            )
-        )
+        return found.bind(_changes)
 
     async def _pages(
         self, table: str
@@ -140,12 +145,15 @@
             if not pipeline.is_successful(page):
                 return page
             found = page.unwrap()
-            rows += found["rows"]
-            # Changes between two pages come again from the first one on.
-            version = int(found["ver"]) if version is None else version
-            if not found.get("has_more") or not found["rows"]:
-                return result.Success((rows, version))
-            start = found["rows"][-1]["key"] + "\0"
+            try:
+                rows += found["rows"]
+                # Changes between two pages come again from the first one on.
+                version = int(found["ver"]) if version is None else version
+                if not found.get("has_more") or not found["rows"]:
+                    return result.Success((rows, version))
+                start = found["rows"][-1]["key"] + "\0"
+            except _MALFORMED as error:
+                return _malformed(error)
 
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
@@ -179,6 +187,23 @@
             return response.status, await response.read()
 
 
+def _changes(
+    page: dict[str, Any],
+) -> result.Result[interfaces.Changes, codes.Fault]:
+    try:
+        rows = tuple(_change(row) for row in page["rows"])
+        return result.Success(interfaces.Changes(rows, int(page["ver"])))
+    except _MALFORMED as error:
+        return _malformed(error)
+
+
+def _malformed(error: Exception) -> result.Result[Any, codes.Fault]:
+    return failures.failure(
+        codes.TABLE_UNAVAILABLE,
+        f"unexpected answer: {failures.describe(error)}",
+    )
+
+
 def _parsed(status: int, data: bytes) -> result.Result[Any, codes.Fault]:
     if status == _GONE:
         return failures.failure(codes.TABLE_HISTORY_LOST, "HTTP 410")
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -114,7 +114,7 @@
         self.budgets: dict[str, budget.WindowBudget] = {}
         self.invariants = invariants.Invariants()
         self.rows_read_at: Callable[[], float] = clock
-        self.on_trouble: Callable[[fleet_model.Key], None] = lambda key: None
+        self.on_trouble: Callable[[fleet_model.Key], object] = lambda key: None
         self.instances = _ASSUMED_INSTANCES
         self.started_at = clock()
         self.in_flight = 0
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from tamarackpier import codes
+from tamarackpier.fleet import model as fleet_model
 from tamarackpier.routing import model as routing_model
 from tamarackpier.traffic import attempt, caller, choose, events, flight
 from tamarackpier.traffic import relay as relay_lib
@@ -86,11 +87,11 @@
     option: choose.Option,
     scope: asyncio.Timeout,
 ) -> Iterator[flight.Flight]:
-    """Counts an attempt of a stream in and out."""
-    if option.key is None:
-        raise run_lib.AttemptFailedError(
-            "no_replica", "the engine has no replica", True
-        )
+    """Counts an attempt of a stream in and out.
+
+    An engine of a plain service has no members to be asked about, so its
+    streams are not watched for silence.
+    """
     spec = relay.spec(run.service)
     kind = spec.model(run.request.model) if spec else None
     reading_s = pass_s = 0.0
@@ -100,13 +101,16 @@
         pass_s = choose.pass_s(spec, kind)
     found = flight.Flight(
         run.request.id,
-        option.key,
+        option.key or fleet_model.Key(option.engine.id, 0),
         option.engine.id,
         scope,
         relay.clock(),
         pass_s,
         reading_s,
     )
+    if option.key is None:
+        yield found
+        return
     relay.flights.add(found)
     try:
         yield found
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -583,3 +583,32 @@
             assert found.pick(run).key.replica == "r9"
 
     _run(check)
+
+
+def test_a_stream_of_a_plain_service_is_passed_on():
+    async def whole(arrival):
+        head = STREAM_HEAD.format(id="req-1")
+        head += "Transfer-Encoding: chunked\r\n\r\n"
+        data = _chunk(_events(1, 3)) + b"0\r\n\r\n"
+        await arrival.write(head.encode() + data)
+
+    async def check():
+        routes = (
+            hosted_fixtures.route(
+                choices=(routing_model.Choice("orders", 1.0),)
+            ),
+        )
+        async with (
+            rough_engine.serve_script(whole) as (address, _),
+            _relay([_plain("o1", address)]) as found,
+        ):
+            found.use(
+                table.create_routing(hosted_fixtures.configuration(2, routes))
+            )
+            caller = _Caller()
+            done = await found.handle(_request(model=""), caller)
+        assert pipeline.is_successful(done)
+        assert caller.data == _events(1, 3)
+        assert found.flights.by_key == {}
+
+    _run(check)
