--- a/bench/hosted.py
+++ b/bench/hosted.py
@@ -1,4 +1,4 @@
-"""Slopes of a hosted instance's control: time and bytes against sizes.
+"""Slopes of a hosted instance's control: processor time and bytes by size.
 
 Prints one line for each slope: least squares over the sizes, and the largest
 distance of a measurement from its line as a share of the largest one.
@@ -68,9 +68,9 @@
 def _best_us(work: Callable[[], object]) -> float:
     best = float("inf")
     for _ in range(_REPEATS):
-        start = time.perf_counter()
+        start = time.process_time()
         work()
-        best = min(best, time.perf_counter() - start)
+        best = min(best, time.process_time() - start)
     return best * 1e6
 
 
