--- a/bench/figures.py
+++ b/bench/figures.py
@@ -62,9 +62,26 @@
         "| --- |",
     ]
     lines += [_row(day) for day in days]
+    lines += [
+        "",
+        "Share of its payoff that each kind of request (in the order of the "
+        "sheet; rare kinds are left out) and each zone of callers got:",
+        "",
+        "| day | kinds | zones |",
+        "| --- | --- | --- |",
+    ]
+    lines += [
+        f"| {day['name']} | {_shares(day['by_class'])} "
+        f"| {_shares(day['by_zone'])} |"
+        for day in days
+    ]
     return "\n".join(lines) + "\n"
 
 
+def _shares(values: list[float | None]) -> str:
+    return ", ".join("-" if each is None else f"{each:.2f}" for each in values)
+
+
 @click.command()
 @click.argument(
     "entries", nargs=-1, required=True, type=click.Path(path_type=pathlib.Path)
--- a/tamarackpier/daemon/main.py
+++ b/tamarackpier/daemon/main.py
@@ -53,6 +53,7 @@
         return
     logs.configure(settings.instance.id, settings.instance.log_level)
     asyncio.run(serve(settings))
+    logs.flush()
 
 
 async def serve(settings: settings_lib.Settings) -> None:
