--- a/tamarackpier/daemon/node.py
+++ b/tamarackpier/daemon/node.py
@@ -10,7 +10,7 @@
 import aiohttp
 from returns import pipeline
 
-from tamarackpier import invariants, logs, metrics
+from tamarackpier import invariants, logs, metrics, quarantine
 from tamarackpier import settings as settings_lib
 from tamarackpier.daemon import (
     domain_keeper,
@@ -30,7 +30,6 @@
     expiry,
     loads,
     place,
-    quarantine,
     relay,
     retry,
     service_relay,
--- a/tamarackpier/daemon/peers.py
+++ b/tamarackpier/daemon/peers.py
@@ -13,10 +13,10 @@
 import grpc
 
 from tamarackpier import codes, metrics, tasks
+from tamarackpier import quarantine as quarantine_lib
 from tamarackpier.peer import codec, membership
 from tamarackpier.replica import gate as gate_lib
 from tamarackpier.replica import model as replica_model
-from tamarackpier.request import quarantine as quarantine_lib
 from tamarackpier.wire import peer_pb2, peer_pb2_grpc
 
 __all__ = [
--- a/tamarackpier/peer/codec.py
+++ b/tamarackpier/peer/codec.py
@@ -6,9 +6,9 @@
 
 from collections.abc import Iterable
 
+from tamarackpier import quarantine
 from tamarackpier.peer import membership
 from tamarackpier.replica import gate
-from tamarackpier.request import quarantine
 from tamarackpier.wire import peer_pb2
 
 __all__ = [
--- a/tamarackpier/request/dispatch.py
+++ b/tamarackpier/request/dispatch.py
@@ -12,10 +12,10 @@
 from returns import pipeline, result
 
 from tamarackpier import codes, invariants, metrics
+from tamarackpier import quarantine as quarantine_lib
 from tamarackpier.replica import gate as gate_lib
 from tamarackpier.request import admit, model, place, retry
 from tamarackpier.request import loads as loads_lib
-from tamarackpier.request import quarantine as quarantine_lib
 
 __all__ = ["Dispatcher", "Slot"]
 
--- a/tamarackpier/request/parse.py
+++ b/tamarackpier/request/parse.py
@@ -7,8 +7,8 @@
 
 from returns import result
 
-from tamarackpier import codes
-from tamarackpier.request import model, quarantine
+from tamarackpier import codes, quarantine
+from tamarackpier.request import model
 
 __all__ = ["RequestContext", "model_call"]
 
--- a/tamarackpier/request/relay.py
+++ b/tamarackpier/request/relay.py
@@ -16,8 +16,8 @@
 from returns import pipeline, result
 
 from tamarackpier import codes, invariants, logs, metrics, tasks
+from tamarackpier import quarantine as quarantine_lib
 from tamarackpier.request import admit, dispatch, model, retry, stream
-from tamarackpier.request import quarantine as quarantine_lib
 from tamarackpier.upstream import engine
 
 __all__ = ["ModelRun", "Relay", "RunFailedError"]
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
+from tamarackpier import quarantine
 from tamarackpier.peer import addresses, codec, interest, membership
-from tamarackpier.request import quarantine
 from tamarackpier.wire import peer_pb2
 from tests import fixtures
 
--- a/tests/test_request.py
+++ b/tests/test_request.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 from returns import pipeline
 
-from tamarackpier import codes, metrics, settings
+from tamarackpier import codes, metrics, quarantine, settings
 from tamarackpier.platform import interfaces
 from tamarackpier.request import (
     admit,
@@ -18,7 +18,6 @@
     model,
     parse,
     place,
-    quarantine,
     records,
     retry,
     stream,
