Log what tells the causes of repeated requests apart

The lines of two retries of one request had no field in common, a failed attempt that was not repeated left no line, and repeat showed neither the counted attempts nor the state of the retry budget. sent, attempt failed (new) and repeat now carry a fingerprint of account, host, path and body; attempt failed names the engine's incarnation, and repeat the counted attempts and the budget. No decision changes.

--- a/tamarackpier/traffic/attempt.py
+++ b/tamarackpier/traffic/attempt.py
@@ -132,6 +132,7 @@
         return CompleteAnswer(answer.status, answer.headers, b"".join(chunks))
     except run_lib.AttemptFailedError as error:
         run.last_failure = f"{engine_id}: {error}"
+        relay.log_failed_attempt(run, candidate, error)
         relay.engine_scores.record_failure(engine_id, relay.clock())
         raise
     finally:
--- a/tamarackpier/traffic/budget.py
+++ b/tamarackpier/traffic/budget.py
@@ -9,8 +9,9 @@
 """
 
 import collections
+import dataclasses
 
-__all__ = ["RetryBudget"]
+__all__ = ["BudgetUsage", "RetryBudget"]
 
 # Number of buckets in which a window is counted; counts expire by the bucket.
 _BUCKETS_PER_WINDOW = 20
@@ -19,6 +20,19 @@
 _LIMIT_SHARE = 0.8
 
 
+@dataclasses.dataclass(frozen=True)
+class BudgetUsage:
+    """State of a retry budget in the current window.
+
+    Attributes:
+        retries: Number of retries taken.
+        limit: Number of retries that may be taken.
+    """
+
+    retries: int
+    limit: float
+
+
 class RetryBudget:
     """Retries that this instance may send to one service.
 
@@ -51,16 +65,21 @@
 
     def spend(self, now: float) -> bool:
         """Takes one retry from the budget; returns whether one was left."""
-        bucket = self._bucket(now)
+        usage = self.usage(now)
+        if usage.retries + 1 > usage.limit:
+            return False
+        self._bucket(now)[2] += 1
+        return True
+
+    def usage(self, now: float) -> BudgetUsage:
+        """Returns the state of the budget in the current window."""
+        self._bucket(now)
         requests = sum(counts[1] for counts in self._buckets)
         retries = sum(counts[2] for counts in self._buckets)
         extra_share = min(1.0, (now - self.started_at) / self.window_s)
         extra = self.extra * extra_share / self.instances
-        allowed = self.ratio * requests + extra
-        if retries + 1 > _LIMIT_SHARE * allowed:
-            return False
-        bucket[2] += 1
-        return True
+        limit = _LIMIT_SHARE * (self.ratio * requests + extra)
+        return BudgetUsage(int(retries), limit)
 
     def _bucket(self, now: float) -> list[float]:
         """Drops the expired buckets and returns the current one."""
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -14,6 +14,7 @@
     invariants,
     logs,
     metrics,
+    quarantine,
     registry,
 )
 from tamarackpier.fleet import fleet_view
@@ -242,13 +243,16 @@
             request.deadline - _ANSWER_SLACK_S,
             request.arrived_at + route.timeout_s,
         )
+        account_name = account.name if account else ""
+        content = b"\0".join((request.host.encode(), request.target, body))
         return run_lib.Run(
             request,
             route,
             service,
-            account.name if account else "",
+            account_name,
             min(_LOWEST_PRIORITY, max(0, priority)),
             body,
+            quarantine.fingerprint(account_name, content),
             ends_at,
             routing.version,
         )
@@ -371,6 +375,7 @@
         logs.decision(
             "sent",
             request=run.request.id,
+            fingerprint=run.fingerprint,
             engine=candidate.engine.id,
             replica=candidate.key.replica if candidate.key else "",
             expected_s=round(candidate.expected_s, 4),
@@ -381,6 +386,28 @@
             left_s=round(run.ends_at - self.clock(), 3),
         )
 
+    def log_failed_attempt(
+        self,
+        run: run_lib.Run,
+        candidate: selection.Candidate,
+        error: run_lib.AttemptFailedError,
+    ) -> None:
+        """Logs how an attempt failed, and of which start of the engine."""
+        self.metrics.count("attempt_failed", error.reason)
+        logs.failure(
+            "attempt failed",
+            request=run.request.id,
+            fingerprint=run.fingerprint,
+            engine=candidate.engine.id,
+            incarnation=candidate.engine.incarnation,
+            replica=candidate.key.replica if candidate.key else "",
+            reason=error.reason,
+            detail=str(error),
+            not_run=error.is_not_run,
+            counted=run.counted_attempts,
+            max_attempts=run.route.max_attempts,
+        )
+
     def may_retry(self, run: run_lib.Run, reason: str) -> bool:
         """Returns whether a request may be retried.
 
@@ -396,16 +423,23 @@
         if run.counted_attempts >= run.route.max_attempts:
             self.metrics.count("not_repeated", "attempts")
             return False
-        if not self.retry_budget(run.service).spend(self.clock()):
+        service_budget = self.retry_budget(run.service)
+        if not service_budget.spend(self.clock()):
             self.metrics.count("not_repeated", "budget")
             return False
         self.metrics.count("repeated", reason)
+        usage = service_budget.usage(self.clock())
         logs.decision(
             "repeat",
             request=run.request.id,
+            fingerprint=run.fingerprint,
             reason=reason,
             after=run.last_failure,
             tried=run.tried,
+            counted=run.counted_attempts,
+            max_attempts=run.route.max_attempts,
+            budget_used=usage.retries,
+            budget_limit=round(usage.limit, 1),
         )
         return True
 
--- a/tamarackpier/traffic/run.py
+++ b/tamarackpier/traffic/run.py
@@ -33,6 +33,8 @@
             none.
         priority: Priority; 0 is the most urgent.
         body: Complete body of the request.
+        fingerprint: Hash of the account and of what was asked, equal for all
+            retries of the request by its caller.
         ends_at: Time at which the caller gets a final answer at the latest,
             in seconds on the relay's clock.
         version: Version of the configuration that admitted the request.
@@ -53,6 +55,7 @@
     account: str
     priority: int
     body: bytes
+    fingerprint: str
     ends_at: float
     version: int
     tried: list[str] = dataclasses.field(default_factory=list)
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -37,6 +37,7 @@
             return
         except run_lib.AttemptFailedError as error:
             run.last_failure = f"{candidate.engine.id}: {error}"
+            relay.log_failed_attempt(run, candidate, error)
             await _check_resume(relay, run, error, connection)
             stream.resume()
 
