Reproduce requests that crash engines without end, on all kinds of routes

The platform stand-in learns requests that crash the engine that runs them, before the answer or after some events; the engine restarts under its ID.

--- a/tamarackpier/standin/fabric.py
+++ b/tamarackpier/standin/fabric.py
@@ -109,13 +109,28 @@
         self.engines[name] = FabricEngine(record)
 
     def kill(self, name: str) -> None:
-        """Ends an engine's process, which is never restarted."""
+        """Ends an engine's process."""
         engine = self.engines[name]
         if engine.is_alive:
             engine.is_alive = False
             engine.killed_at = self.now
             self._stall_replicas_of(name)
 
+    def restart(self, name: str) -> None:
+        """Starts the process of a killed engine again, under the same ID.
+
+        The engine knows nothing of before; its host keeps the staged weights.
+        """
+        record = self.engines[name].record
+        self.engines[name] = FabricEngine(
+            dataclasses.replace(
+                record,
+                incarnation=record.incarnation + 1,
+                model="",
+                membership=None,
+            )
+        )
+
     def cut(self, name: str) -> None:
         """Cuts an engine off from the network; it keeps running."""
         self.engines[name].cut_at = self.now
--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -29,6 +29,8 @@
 _EVENT_INTERVAL_S = 0.01
 _IDLE_TIMEOUT_S = 60.0
 _ORDER_DELAY_RANGE_S = (1.0, 6.0)
+# Time after which an engine that a request crashed starts again.
+_RESTART_DELAY_S = 1.0
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -62,6 +64,11 @@
     await send({"type": "http.response.body", "body": body})
 
 
+def _abort_connections(listener: serving.HttpListener) -> None:
+    for connection in list(listener.state.connections):
+        connection.transport.abort()  # type: ignore[union-attr]
+
+
 class RowStoreStandin:
     """The platform's row store, in memory.
 
@@ -187,6 +194,7 @@
         engine = self.platform.fabric.engines[self.name]
         if not self.platform.fabric.is_reachable(self.name):
             await asyncio.sleep(3600)
+        crash_after = self.platform.crashing_bodies.get(body)
         headers = {
             name.decode(): value.decode() for name, value in scope["headers"]
         }
@@ -199,7 +207,7 @@
         elif scope["path"] == wire.Path.ORDER:
             await self._order(body, engine.record, send)
         else:
-            await self._request(headers, engine, send)
+            await self._request(headers, engine, crash_after, send)
 
     async def _order(
         self, body: bytes, record: model.EngineRecord, send: Send
@@ -228,6 +236,7 @@
         self,
         headers: dict[str, str],
         engine: fabric_lib.FabricEngine,
+        crash_after: int | None,
         send: Send,
     ) -> None:
         request_id = headers.get(wire.Header.REQUEST_ID, "")
@@ -251,19 +260,25 @@
                 return
             self.platform.check_members_ready(engine)
         self.platform.ran[request_id].append(self.name)
+        if crash_after == 0:
+            self.platform.crash(self.name, request_id)
+            return
         if not serves_models:
             await asyncio.sleep(_EVENT_INTERVAL_S)
+            if not engine.is_alive:
+                return
             await _send_answer(
                 send, 200, b"ran " + request_id.encode(), engine_headers
             )
             return
-        await self._stream(headers, engine, engine_headers, send)
+        await self._stream(headers, engine, engine_headers, crash_after, send)
 
     async def _stream(
         self,
         headers: dict[str, str],
         engine: fabric_lib.FabricEngine,
         engine_headers: tuple[tuple[str, str], ...],
+        crash_after: int | None,
         send: Send,
     ) -> None:
         event_count = int(headers[wire.Header.TOKEN_COUNT].partition(",")[2])
@@ -284,7 +299,14 @@
             for number in range(first_number, event_count + 1):
                 while engine.stalled_at is not None or not engine.is_alive:
                     await asyncio.sleep(_EVENT_INTERVAL_S)
+                    if self.platform.fabric.engines[self.name] is not engine:
+                        return
                 await asyncio.sleep(_EVENT_INTERVAL_S)
+                if crash_after is not None and number > crash_after:
+                    self.platform.crash(
+                        self.name, headers[wire.Header.REQUEST_ID]
+                    )
+                    return
                 body = b"id: %d\ndata: e%d\n\n" % (number, number)
                 await send(
                     {
@@ -306,12 +328,17 @@
         fabric: Engines and their replicas.
         ran: IDs of the engines that started to run each request, by request
             ID.
+        crashing_bodies: Number of events after which an engine crashes that
+            runs a request with this body, by body; 0 for before its answer.
+        crashes: Time, in seconds on the monotonic clock, and request ID of
+            each crash by such a request.
         breaches: Descriptions of the invariant breaches so far.
         delayed_order_share: Share of orders that are carried out seconds later
             and not answered.
         rng: Source of the choice of these orders and of their delays.
         ports: Returns a free port at each call.
         listeners: Listeners of the store and the engines.
+        engine_listeners: Listener of each engine, by ID.
         address: Host and port on which the store listens.
     """
 
@@ -321,14 +348,18 @@
         self.store = RowStoreStandin()
         self.fabric = fabric_lib.Fabric(spec)
         self.ran: dict[str, list[str]] = collections.defaultdict(list)
+        self.crashing_bodies: dict[bytes, int] = {}
+        self.crashes: list[tuple[float, str]] = []
         self.breaches: list[str] = []
         self.delayed_order_share = 0.0
         self.rng = random.Random(0)
         self.ports = ports
         self.listeners: list[serving.HttpListener] = []
+        self.engine_listeners: dict[str, serving.HttpListener] = {}
         self.address = f"127.0.0.1:{ports()}"
         self._written_rows: dict[str, bytes] = {}
         self._task: asyncio.Task[None] | None = None
+        self._restarts: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Starts the row store and the engines."""
@@ -343,7 +374,25 @@
         self.fabric.add(name, service, zone, domain)
         engine = self.fabric.engines[name]
         engine.record = dataclasses.replace(engine.record, address=address)
-        await self._listen(_EngineApp(self, name), address)
+        self.engine_listeners[name] = await self._listen(
+            _EngineApp(self, name), address
+        )
+
+    def crash(self, name: str, request_id: str) -> None:
+        """Ends an engine because of a request; it restarts a little later."""
+        self.crashes.append((time.monotonic(), request_id))
+        self.fabric.kill(name)
+        listener = self.engine_listeners[name]
+        listener.close()
+        _abort_connections(listener)
+        restart = asyncio.ensure_future(self._restart(name))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart(self, name: str) -> None:
+        await asyncio.sleep(_RESTART_DELAY_S)
+        self.fabric.restart(name)
+        await self.engine_listeners[name].listen()
 
     def check_members_ready(self, lead: fabric_lib.FabricEngine) -> None:
         """Records a breach if a lead serves though a member was never ready."""
@@ -371,15 +420,17 @@
         """Stops the engines, and closes all listeners and connections."""
         if self._task is not None:
             self._task.cancel()
+        for restart in self._restarts:
+            restart.cancel()
         for listener in self.listeners:
             listener.close()
-            for connection in list(listener.state.connections):
-                connection.transport.abort()  # type: ignore[union-attr]
+            _abort_connections(listener)
 
-    async def _listen(self, app: Any, address: str) -> None:
+    async def _listen(self, app: Any, address: str) -> serving.HttpListener:
         listener = serving.HttpListener(app, address, _IDLE_TIMEOUT_S)
         await listener.listen()
         self.listeners.append(listener)
+        return listener
 
     async def _run(self) -> None:
         while True:
--- a/tests/test_hosted_whole.py
+++ b/tests/test_hosted_whole.py
@@ -1,153 +1,11 @@
 """Tests whole hosted instances on loopback with a simulated platform."""
 
 import asyncio
-import contextlib
-import dataclasses
-import random
 import time
 
-import aiohttp
-
-from tamarackpier import codes, failures, hosted_settings, logs
-from tamarackpier.daemon import hosted as hosted_lib
-from tamarackpier.platform import edge, engines, wire
-from tamarackpier.routing import model as routing_model
-from tamarackpier.standin import hosted_platform
-from tests import hosted_fixtures, ports
-
-FAST_MODELS = tuple(
-    dataclasses.replace(model_spec, load_s=0.2, warm_s=0.1)
-    for model_spec in hosted_fixtures.MODELS
-)
-FAST_SPEC = dataclasses.replace(hosted_fixtures.SPEC, models=FAST_MODELS)
-SERVICES = {
-    "drafts": routing_model.ServiceSpec("drafts", FAST_SPEC),
-    "orders": routing_model.ServiceSpec("orders", None),
-}
-ROUTES = (
-    hosted_fixtures.route(),
-    hosted_fixtures.route(
-        name="o",
-        prefix="/order/",
-        kind=routing_model.RouteKind.ONCE,
-        choices=(routing_model.ServiceChoice("orders", 1.0),),
-        timeout_s=2.0,
-    ),
-)
-READY_TIMEOUT_S = 15.0
-
-
-def _configuration(version=1, **changes):
-    return hosted_fixtures.configuration(
-        version, **({"routes": ROUTES, "services": SERVICES} | changes)
-    )
-
-
-def _settings(name, store, contacts=""):
-    first_port, _ = ports.consecutive_free_ports(2)
-    callers, readiness, addresses = ports.free_ports(3)
-    return hosted_settings.from_text(
-        f"""
-[instance]
-id = {name}
-availability_zone = zone-a
-region = region-1
-ip = 127.0.0.1
-[listen]
-callers = 127.0.0.1:{callers}
-readiness = 127.0.0.1:{readiness}
-addresses = 127.0.0.1:{addresses}
-first_internal_port = {first_port}
-contacts = {contacts}
-[store]
-address = {store}
-[bounds]
-stop_grace_s = 2
-"""
-    ).unwrap()
-
-
-class _Deployment:
-    """Running instances, the simulated platform and an HTTP client."""
-
-    def __init__(self, platform, instances, client):
-        self.platform = platform
-        self.instances = instances
-        self.client = client
-
-    def headers(self, request_id, count=5):
-        return {
-            "Host": "a.example",
-            "Authorization": "Token key-1",
-            wire.Header.REQUEST_ID: request_id,
-            wire.Header.DEADLINE_MS: "5000",
-            wire.Header.MODEL: "large",
-            wire.Header.TOKEN_COUNT: f"100,{count}",
-        }
-
-    async def post(self, path, request_id, instance=0, **options):
-        callers = self.instances[instance].settings.listen.callers
-        async with self.client.post(
-            f"http://{callers}{path}",
-            headers=self.headers(request_id, **options),
-            data=b"{}",
-        ) as response:
-            return response, await response.read()
-
-    async def until(self, check, seconds=READY_TIMEOUT_S):
-        deadline = time.monotonic() + seconds
-        while not check():
-            assert time.monotonic() < deadline, (
-                "condition did not become true in time"
-            )
-            await asyncio.sleep(0.05)
-
-    def serving(self):
-        return [
-            len(instance.fleet.serving("drafts", "large"))
-            for instance in self.instances
-        ]
-
-
-@contextlib.asynccontextmanager
-async def _deployment(count=2, engine_count=5):
-    logs.logging.set_verbosity("fatal")
-    platform = hosted_platform.HostedPlatform(FAST_SPEC, ports.free_port)
-    await platform.start()
-    for index in range(engine_count):
-        await platform.add_engine(f"e{index}", "drafts", "zone-a", "d0")
-    await platform.add_engine("o0", "orders", "zone-a", "")
-    platform.configure(_configuration())
-    async with (
-        aiohttp.ClientSession() as store_session,
-        engines.create_session() as engine_session,
-        aiohttp.ClientSession() as client,
-    ):
-        instances = []
-        for index in range(count):
-            instance = hosted_lib.create_instance(
-                _settings(f"entry-{index}", platform.address),
-                store_session,
-                engine_session,
-            )
-            instance.rng = random.Random(index)
-            await instance.start()
-            instances.append(instance)
-        deployment = _Deployment(platform, instances, client)
-        try:
-            yield deployment
-        finally:
-            for instance in instances:
-                await instance.close()
-            await platform.stop()
-
-
-def _run(check, **options):
-    async def run():
-        async with _deployment(**options) as deployment:
-            await check(deployment)
-
-    asyncio.run(run())
+from tamarackpier import codes, failures
+from tamarackpier.platform import edge
+from tests import deployment_fixtures, hosted_fixtures
 
 
 def _whole(count):
@@ -195,7 +53,7 @@
         assert "tamarackpier_request_total" in text
         assert "tamarackpier_invariant_broken_sent_once 0" in text
 
-    _run(check)
+    deployment_fixtures.run(check)
 
 
 def test_a_stream_survives_the_loss_of_a_member():
@@ -212,7 +70,7 @@
         assert response.status == 200
         assert data == _whole(150)
 
-    _run(check, engine_count=9)
+    deployment_fixtures.run(check, engine_count=9)
 
 
 def test_every_instance_applies_a_configuration_even_without_the_store():
@@ -220,7 +78,9 @@
         await deployment.until(lambda: all(deployment.serving()))
         new_route = hosted_fixtures.route(name="n", prefix="/new/")
         deployment.platform.configure(
-            _configuration(7, routes=(*ROUTES, new_route))
+            deployment_fixtures.configuration(
+                7, routes=(*deployment_fixtures.ROUTES, new_route)
+            )
         )
         await deployment.until(
             lambda: all(
@@ -235,14 +95,14 @@
         # peer.
         deployment.instances[1].followers[0].watch = _UnresponsiveStore()
         await asyncio.sleep(0.1)
-        deployment.platform.configure(_configuration(9))
+        deployment.platform.configure(deployment_fixtures.configuration(9))
         await deployment.until(
             lambda: deployment.instances[1].configuration.version == 9, 3.0
         )
         response, _ = await deployment.post("/new/1", "n2", 1)
         assert response.status == 404
 
-    _run(check)
+    deployment_fixtures.run(check)
 
 
 class _UnresponsiveStore:
@@ -286,7 +146,7 @@
         assert deployment.platform.ran["o2"] == []
         assert float(response.headers["Retry-After"]) < 1
 
-    _run(check)
+    deployment_fixtures.run(check)
 
 
 def test_another_instance_plans_after_the_planner_leaves():
@@ -311,7 +171,7 @@
             6.0,
         )
 
-    _run(check)
+    deployment_fixtures.run(check)
 
 
 def test_instances_serve_during_a_store_outage_and_catch_up_afterwards():
@@ -322,7 +182,7 @@
         response, _ = await deployment.post("/draft/1", "d1")
         assert response.status == 200
         deployment.platform.store.drop_history()
-        deployment.platform.configure(_configuration(5))
+        deployment.platform.configure(deployment_fixtures.configuration(5))
         deployment.platform.store.refuses = False
         await deployment.until(
             lambda: all(
@@ -332,7 +192,7 @@
             3.0,
         )
 
-    _run(check)
+    deployment_fixtures.run(check)
 
 
 def test_replicas_are_formed_again_while_the_store_is_down():
@@ -371,7 +231,7 @@
         await deployment.until(lambda: not active_controller.is_overtime, 3.0)
         assert active_controller.is_planning
 
-    _run(check, engine_count=5)
+    deployment_fixtures.run(check, engine_count=5)
 
 
 def test_unleased_takeover_after_the_planner_leaves_during_a_store_outage():
@@ -430,7 +290,7 @@
             8.0,
         )
 
-    _run(check, count=3, engine_count=5)
+    deployment_fixtures.run(check, count=3, engine_count=5)
 
 
 def test_a_planner_that_the_store_refuses_is_succeeded_by_another():
@@ -453,7 +313,7 @@
         await deployment.until(lambda: other.is_planning, 8.0)
         await deployment.until(lambda: not active_controller.is_planning, 1.0)
 
-    _run(check)
+    deployment_fixtures.run(check)
 
 
 def test_an_instance_that_the_store_refuses_gets_engine_rows_from_a_peer():
@@ -472,7 +332,7 @@
             lambda: "late" not in refused_instance.fleet.engines, 6.0
         )
 
-    _run(check)
+    deployment_fixtures.run(check)
 
 
 class _RefusingStore:
