Stop requests that crash engines from reaching them on the hosted path

Callers saw nothing; the platform saw a request under which three engines had ended sent to engines again and again, and lost one each time.

Cause: traffic/ had no memory across the attempts of a caller. max_attempts and the retry budget limit one request ID and one service, and a caller's retry has a new ID and comes to any instance. request/ has a quarantine. Class: a protection whose state has a shorter life than the fault.

A failed attempt becomes a suspect only if its upstream has ended unannounced: closed port, new incarnation or row gone, found by a probe or by rows, for replicas by any member. Crashes go to all peers in the status exchange, refused fingerprints to the store, so that a restart of one or all instances forgets nothing. Three deaths and no other suspect of all of them: refused at once with 3114, not run. A completion clears a request and protects equal ones for 60 s, since many callers may send equal requests. State and messages are bounded.

--- a/tamarackpier/codes.py
+++ b/tamarackpier/codes.py
@@ -385,6 +385,13 @@
     _AFTER_CHANGE,
     "Requests like this crashed upstreams; they are refused for some time.",
 )
+CRASH_SUSPECT = _define(
+    3114,
+    "crash_suspect",
+    503,
+    _LATER,
+    "Requests like this crashed upstreams; this one was not run.",
+)
 NO_SUCH_REQUEST = _define(
     3107,
     "no_such_request",
@@ -477,6 +484,13 @@
     "The upstream sent data that violates its protocol.",
     Outcome.FAILED_AFTER_RUNNING,
 )
+CONNECTION_REFUSED = _define(
+    4010,
+    "connection_refused",
+    503,
+    _LATER,
+    "The upstream's port is closed: its process has ended.",
+)
 ORDER_REFUSED = _define(
     4009,
     "order_refused",
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -15,6 +15,7 @@
 from tamarackpier.daemon import (
     caller_app,
     catch_up,
+    crash_checks,
     entry_peers,
     hosted_apps,
     peer_status,
@@ -85,6 +86,19 @@
         self._next_plan_at = 0.0
         self._build_request_path()
         self._build_peer_exchange(int(wall_clock() * _MS_PER_S))
+        self.crash_checker = crash_checks.CrashChecker(
+            self.relay.crash_watch,
+            self.fleet,
+            self.prober,
+            self.rows,
+            self.metrics,
+            self.clock,
+            wall_clock,
+        )
+        # A death that others don't know yet must reach them at once.
+        self.relay.crash_watch.on_crash = lambda: self.peers.start_exchanges(
+            is_urgent=True
+        )
         self._build_followers()
         self._build_listeners()
 
@@ -434,6 +448,7 @@
             logs.event("engines gone", engines=expired)
         if now >= self._next_plan_at:
             self._next_plan_at = now + _PLAN_PERIOD_S
+            self.crash_checker.tick()
             self._plan_zones()
             claims = self.statuses.zone_claims()
             for controller in self.zone_controllers.values():
@@ -453,13 +468,14 @@
         self.relay.streams.keep_only(set(self.fleet.replicas()))
         self.relay.engine_scores.keep_only(set(self.fleet.engines))
         self.statuses.expire()
+        self.crash_checker.update_store()
         self.peers.start_exchanges()
         self.catch_up.tick(now)
 
     async def _register(self) -> None:
         """Registers this instance in the store and adds the others as contacts.
 
-        Tries until the store answers.
+        Also loads the quarantine. Tries until the store answers.
         """
         own_presence = self.roster.own_presence
         key = f"{_INSTANCES_TABLE}/{own_presence.id}"
@@ -468,8 +484,11 @@
         while True:
             write_result = await self.rows.transact(write)
             scan_result = await self.rows.scan(f"{_INSTANCES_TABLE}/")
-            if pipeline.is_successful(write_result) and pipeline.is_successful(
-                scan_result
+            is_loaded = await self.crash_checker.load()
+            if (
+                is_loaded
+                and pipeline.is_successful(write_result)
+                and pipeline.is_successful(scan_result)
             ):
                 break
             await asyncio.sleep(self.rng.uniform(0.2, 0.6))
--- a/tamarackpier/daemon/peer_status.py
+++ b/tamarackpier/daemon/peer_status.py
@@ -8,8 +8,8 @@
 from tamarackpier import logs
 from tamarackpier.daemon import probing, zone_controller
 from tamarackpier.fleet import fleet_view, model
+from tamarackpier.peer import crash_codec, zone_claims
 from tamarackpier.peer import roster as roster_lib
-from tamarackpier.peer import zone_claims
 from tamarackpier.traffic import load, relay
 from tamarackpier.wire import entry_pb2
 
@@ -102,7 +102,7 @@
             state = self.states.get(peer.id)
             if state is not None:
                 states.append(state)
-        return entry_pb2.EntryStatus(
+        status = entry_pb2.EntryStatus(
             sender=_presence_to_wire(self.roster.own_presence),
             introduced=[
                 _presence_to_wire(peer)
@@ -125,6 +125,8 @@
                 for engine, observed_at in self.fleet.engines_newer_than_rows()
             ],
         )
+        crash_codec.add_crashes(self.relay.quarantine, status, now)
+        return status
 
     def receive(self, status: entry_pb2.EntryStatus) -> None:
         """Processes the status message of a peer."""
@@ -148,6 +150,12 @@
         if self.fleet.may_be_stale(now):
             for observed in status.observed:
                 self._receive_observation(observed, now)
+        try:
+            crash_codec.merge_crashes(self.relay.quarantine, status, now)
+        except ValueError as error:
+            logs.decision(
+                "crashes unreadable", peer=status.sender.id, detail=str(error)
+            )
 
     def expire(self) -> None:
         """Drops the records of peers that are no longer known."""
--- a/tamarackpier/daemon/peers.py
+++ b/tamarackpier/daemon/peers.py
@@ -14,7 +14,7 @@
 
 from tamarackpier import codes, metrics, tasks
 from tamarackpier import quarantine as quarantine_lib
-from tamarackpier.peer import codec, membership
+from tamarackpier.peer import ages, codec, crash_codec, membership
 from tamarackpier.replica import gate as gate_lib
 from tamarackpier.replica import model as replica_model
 from tamarackpier.wire import peer_pb2, peer_pb2_grpc
@@ -142,7 +142,9 @@
             sender = codec.record_from_wire(request.sender)
             # The request was sent at most one call timeout ago. Subtracting the
             # timeout keeps crashes from being dated later than they were.
-            merge_crashes(self.quarantine, request, now - _CALL_TIMEOUT_S)
+            crash_codec.merge_crashes(
+                self.quarantine, request, now - _CALL_TIMEOUT_S
+            )
         except ValueError as error:
             self.metrics.count("peer_refused", codes.PEER_BAD_MESSAGE.name)
             await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
@@ -198,7 +200,7 @@
                 )
                 for replica in broken
             )
-        add_crashes(self.quarantine, reply, now)
+        crash_codec.add_crashes(self.quarantine, reply, now)
         return reply
 
 
@@ -251,7 +253,7 @@
             domains=list(domains),
             is_full=is_full,
         )
-        add_crashes(self.quarantine, request, asked_at)
+        crash_codec.add_crashes(self.quarantine, request, asked_at)
         reply = await self._call(address, "Exchange", request, _CALL_TIMEOUT_S)
         if reply is None:
             return False
@@ -353,59 +355,10 @@
         evidence = [
             codec.evidence_from_wire(item, asked_at) for item in reply.evidence
         ]
-        merge_crashes(self.quarantine, reply, asked_at)
+        crash_codec.merge_crashes(self.quarantine, reply, asked_at)
         self.members.merge(records, self.clock())
         for item in evidence:
             self.gate.add(item)
         for broken in reply.broken:
-            broken_at = codec.local_time(broken.age_ms, asked_at)
+            broken_at = ages.local_time(broken.age_ms, asked_at)
             self.gate.close(broken.replica_id, broken.fence, broken_at)
-
-
-def add_crashes(
-    quarantine: quarantine_lib.Quarantine,
-    message: peer_pb2.ExchangeRequest | peer_pb2.ExchangeReply,
-    now: float,
-) -> None:
-    """Adds the known crashes and cleared fingerprints to a message.
-
-    Args:
-        quarantine: The known crashes and cleared fingerprints.
-        message: The message to which they are added.
-        now: Monotonic time in seconds.
-    """
-    message.crashes.extend(
-        codec.crash_to_wire(crash, now) for crash in quarantine.all_crashes()
-    )
-    message.cleared.extend(
-        peer_pb2.Cleared(
-            fingerprint=fingerprint, age_ms=codec.age_ms(cleared_at, now)
-        )
-        for fingerprint, cleared_at in quarantine.cleared.items()
-    )
-
-
-def merge_crashes(
-    quarantine: quarantine_lib.Quarantine,
-    message: peer_pb2.ExchangeRequest | peer_pb2.ExchangeReply,
-    asked_at: float,
-) -> None:
-    """Merges the crashes and cleared fingerprints of a message.
-
-    Args:
-        quarantine: The quarantine to which they are added.
-        message: The received message.
-        asked_at: Earliest time at which the message, or the request that it
-            answers, was sent, in seconds.
-
-    Raises:
-        ValueError: The message is malformed.
-    """
-    crashes = [
-        codec.crash_from_wire(crash, asked_at) for crash in message.crashes
-    ]
-    quarantine.add(crashes)
-    for cleared in message.cleared:
-        quarantine.clear(
-            cleared.fingerprint, codec.local_time(cleared.age_ms, asked_at)
-        )
--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -43,6 +43,8 @@
         must_reform: Whether the replica has to be formed anew.
         pace: Slowdown factor of the slowest member; at least 1.
         queued: Number of requests that wait for a slot at the replica's lead.
+        ended: IDs of the members whose process has ended: their port is closed,
+            or they have started again.
     """
 
     silent: tuple[str, ...]
@@ -50,6 +52,7 @@
     must_reform: bool
     pace: float
     queued: int = 0
+    ended: tuple[str, ...] = ()
 
 
 ReportResult = result.Result[model.EngineReport, codes.Fault]
@@ -65,12 +68,15 @@
         reports: Report of each member, or the fault instead, by engine ID.
     """
     silent = []
+    ended = []
     reason = ""
     closing_reason = ""
     pace = 1.0
     queued = 0
     for rank, member in replica.members:
         report_result = reports[member.id]
+        if has_ended(member, report_result):
+            ended.append(member.id)
         if not pipeline.is_successful(report_result):
             silent.append(member.id)
             continue
@@ -89,10 +95,27 @@
     if silent:
         reason = f"{', '.join(silent)} did not answer"
     return ProbeResult(
-        tuple(silent), reason or closing_reason, bool(reason), pace, queued
+        tuple(silent),
+        reason or closing_reason,
+        bool(reason),
+        pace,
+        queued,
+        tuple(ended),
     )
 
 
+def has_ended(engine: model.EngineRecord, report_result: ReportResult) -> bool:
+    """Returns whether a probe shows that an engine's process has ended.
+
+    Args:
+        engine: The engine, as it was known before.
+        report_result: Its report, or the fault instead.
+    """
+    if not pipeline.is_successful(report_result):
+        return report_result.failure().code is codes.CONNECTION_REFUSED
+    return report_result.unwrap().incarnation > engine.incarnation
+
+
 class Prober:
     """Probes replicas and suspends those that cannot serve.
 
@@ -101,6 +124,8 @@
         gateway: Client for calls to engines.
         streams: Streams in flight; moved off replicas that cannot serve.
         on_suspended: Called with each new suspension, to notify peers.
+        on_probed: Called with the key of a replica after a probe, the result,
+            and the start of the probe in seconds on the monotonic clock.
         running_probes: The running probe of each replica, by key.
     """
 
@@ -120,6 +145,9 @@
         self.on_suspended: Callable[[fleet_view.Suspension], None] = (
             lambda suspension: None
         )
+        self.on_probed: Callable[
+            [model.ReplicaKey, ProbeResult, float], None
+        ] = lambda key, probe_result, started_at: None
         self.running_probes: dict[
             model.ReplicaKey, asyncio.Task[ProbeResult | None]
         ] = {}
@@ -192,15 +220,15 @@
         self, key: model.ReplicaKey, reason: str
     ) -> ProbeResult | None:
         replica = self.fleet.replicas().get(key)
-        now = self.clock()
-        self.streams.probed_at[key] = now
+        started_at = self.clock()
+        self.streams.probed_at[key] = started_at
         if replica is None:
             self.streams.interrupt(key, "the replica is gone")
             return None
         self.metrics.count("doubt")
         engine_ids = [member.id for _, member in replica.members]
         report_results = await asyncio.gather(
-            *(self._probe_engine(member) for _, member in replica.members)
+            *(self.probe_engine(member) for _, member in replica.members)
         )
         probe_result = evaluate(
             replica, dict(zip(engine_ids, report_results, strict=True))
@@ -234,6 +262,7 @@
             )
             if self.suspend(suspension, "asked"):
                 self.on_suspended(suspension)
+        self.on_probed(key, probe_result, started_at)
         return probe_result
 
     def _is_stuck(
@@ -258,7 +287,7 @@
         )
         return now - progress_at > _STUCK_AFTER_S * max(1.0, probe_result.pace)
 
-    async def _probe_engine(self, engine: model.EngineRecord) -> ReportResult:
+    async def probe_engine(self, engine: model.EngineRecord) -> ReportResult:
         """Probes one engine; repeats the tries if this process stalled."""
         for _ in range(_MAX_SERIES):
             started_at = self.clock()
--- a/tamarackpier/peer/codec.py
+++ b/tamarackpier/peer/codec.py
@@ -6,21 +6,17 @@
 
 from collections.abc import Iterable
 
-from tamarackpier import quarantine
-from tamarackpier.peer import membership
+from tamarackpier.peer import ages, membership
 from tamarackpier.replica import gate
 from tamarackpier.wire import peer_pb2
 
 __all__ = [
-    "crash_from_wire",
-    "crash_to_wire",
     "evidence_from_wire",
     "evidence_to_wire",
     "record_from_wire",
     "record_to_wire",
 ]
 
-_MS_PER_S = 1000
 _MAX_ID_LENGTH = 256
 
 
@@ -95,7 +91,7 @@
         address=evidence.address,
         running=evidence.running,
         slots=evidence.slots,
-        age_ms=age_ms(evidence.at, now),
+        age_ms=ages.age_ms(evidence.at, now),
     )
 
 
@@ -126,62 +122,10 @@
         message.address,
         message.running,
         message.slots,
-        local_time(message.age_ms, asked_at),
+        ages.local_time(message.age_ms, asked_at),
     )
 
 
-def crash_to_wire(crash: quarantine.Crash, now: float) -> peer_pb2.Crash:
-    """Returns the wire message for a crash, with its age at `now`."""
-    return peer_pb2.Crash(
-        fingerprint=crash.fingerprint,
-        death=crash.death,
-        age_ms=age_ms(crash.at, now),
-    )
-
-
-def crash_from_wire(
-    message: peer_pb2.Crash, asked_at: float
-) -> quarantine.Crash:
-    """Returns the crash in a wire message.
-
-    Args:
-        message: The wire message.
-        asked_at: Earliest time at which the message, or the request that it
-            answers, was sent, in seconds.
-
-    Raises:
-        ValueError: The message is malformed.
-    """
-    if not message.fingerprint or not message.death:
-        raise ValueError("crash has no fingerprint or death")
-    return quarantine.Crash(
-        message.fingerprint, message.death, local_time(message.age_ms, asked_at)
-    )
-
-
-def age_ms(at: float, now: float) -> int:
-    """Returns the age of an event in whole milliseconds, rounded up.
-
-    Args:
-        at: Time of the event, in seconds.
-        now: Current time on the same clock, in seconds.
-    """
-    return max(0, int((now - at) * _MS_PER_S) + 1)
-
-
-def local_time(age: int, asked_at: float) -> float:
-    """Returns the earliest local time of an event that a peer reported.
-
-    The age is subtracted from the time at which the request was sent, so the
-    clocks of the two instances are not compared.
-
-    Args:
-        age: Age of the event in milliseconds, as the peer sent it.
-        asked_at: Time at which the request was sent, in seconds.
-    """
-    return asked_at - age / _MS_PER_S
-
-
 def _domain_to_wire(status: membership.DomainStatus) -> peer_pb2.DomainStatus:
     return peer_pb2.DomainStatus(
         domain=status.domain,
--- a/tamarackpier/platform/engines.py
+++ b/tamarackpier/platform/engines.py
@@ -207,8 +207,14 @@
                 )
                 status = response.status
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            is_port_closed = isinstance(
+                error, aiohttp.ClientConnectorError
+            ) and isinstance(error.os_error, ConnectionRefusedError)
             return failures.failure(
-                codes.UPSTREAM_UNREACHABLE, failures.describe(error)
+                codes.CONNECTION_REFUSED
+                if is_port_closed
+                else codes.UPSTREAM_UNREACHABLE,
+                failures.describe(error),
             )
         if status != 200 or reporting_engine != engine.id:
             return failures.failure(
--- a/tamarackpier/quarantine.py
+++ b/tamarackpier/quarantine.py
@@ -1,27 +1,48 @@
 """Quarantine for requests that crash the upstreams that run them.
 
-When a replica crashes, every request that was running on it is a suspect of
+When an upstream crashes, every request that was running on it is a suspect of
 its death; a `Crash` pairs one suspect with one death. A request that is a
 suspect of enough deaths is refused, unless another request is a suspect of
 all the same deaths. In that case the cause is ambiguous, and each of them may
-run only on a replica that runs no other such suspect: the next death caused
+run only on an upstream that runs no other such suspect: the next death caused
 by the faulty request then has no other suspect, and a harmless request
 completes and is cleared.
 
+A request that crashes upstreams never completes. Many callers may send equal
+requests, so a completion clears a fingerprint and protects it for a while:
+several upstreams that end at once would otherwise incriminate it.
+
 Crashes are exchanged between entry instances as sets, so merging them is
 idempotent and independent of order. A request that would be refused waits
 until recent crashes have had time to propagate.
 """
 
+import collections
 import dataclasses
 import enum
 import hashlib
+import heapq
 from collections.abc import Iterable
 
 __all__ = ["Crash", "Quarantine", "Verdict", "fingerprint"]
 
 
 _PROPAGATION_S = 2.0
+# Time after a completion in which deaths don't incriminate the request.
+_COMPLETION_PROTECTS_S = 60.0
+# Greatest difference between two instances' times of one crash: they estimate
+# it from its age in a message, which takes up to 0.4 s.
+_TIME_TOLERANCE_S = 1.0
+# Time in which a new crash or completion reaches all peers, also through others
+# and when a message is lost.
+_SEND_S = 5.0
+# Number of deaths of one suspect that all messages carry, so that an instance
+# that has just started learns of it.
+_REPEATED = 2
+_MAX_SENT = 64
+_MAX_SUSPECTS = 4096
+_MAX_DEATHS_PER_SUSPECT = 16
+_MAX_COMPLETIONS = 2048
 
 
 class Verdict(enum.Enum):
@@ -75,23 +96,37 @@
         keep_s: Seconds for which a death counts.
         crashes: Monotonic time in seconds of each death, by fingerprint and
             death.
-        cleared: Monotonic time in seconds at which the request with each
-            fingerprint last completed or was released by an operator.
+        suspects: Fingerprints of the suspects, by death.
+        cleared: Monotonic time in seconds up to which deaths don't count, by
+            fingerprint: its last completion or release by an operator.
+        completed: Monotonic time in seconds of recent completions, by
+            fingerprint, oldest first.
     """
 
     def __init__(self, crash_threshold: int, keep_s: float) -> None:
         self.crash_threshold = crash_threshold
         self.keep_s = keep_s
         self.crashes: dict[str, dict[str, float]] = {}
+        self.suspects: dict[str, set[str]] = {}
         self.cleared: dict[str, float] = {}
+        self.completed: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
 
     def add(self, crashes: Iterable[Crash]) -> None:
         """Merges crashes observed by this instance or received from a peer."""
         for crash in crashes:
             deaths = self.crashes.setdefault(crash.fingerprint, {})
+            if len(deaths) >= _MAX_DEATHS_PER_SUSPECT:
+                continue
             # The first known time is kept. Peers send the age of a crash, so
             # each exchange would otherwise shift the time.
             deaths.setdefault(crash.death, crash.at)
+            self.suspects.setdefault(crash.death, set()).add(crash.fingerprint)
+            if self.is_protected(crash.fingerprint, crash.at):
+                self.clear(crash.fingerprint, crash.at + _TIME_TOLERANCE_S)
+        if len(self.crashes) > _MAX_SUSPECTS:
+            self._drop_least_suspect()
 
     def clear(self, request_fingerprint: str, at: float) -> bool:
         """Clears a request that completed or that an operator released.
@@ -110,6 +145,29 @@
         )
         return True
 
+    def complete(self, request_fingerprint: str, at: float) -> None:
+        """Records that an upstream ran a request to its end.
+
+        Args:
+            request_fingerprint: Fingerprint of the request.
+            at: Monotonic time of the completion, in seconds.
+        """
+        self.completed[request_fingerprint] = at
+        self.completed.move_to_end(request_fingerprint)
+        if len(self.completed) > _MAX_COMPLETIONS:
+            self.completed.popitem(last=False)
+        self.clear(request_fingerprint, at)
+
+    def is_protected(self, request_fingerprint: str, at: float) -> bool:
+        """Returns whether a completion keeps a death from counting.
+
+        Args:
+            request_fingerprint: Fingerprint of the request.
+            at: Monotonic time of the death, in seconds.
+        """
+        completed_at = self.completed.get(request_fingerprint, float("-inf"))
+        return completed_at > at - _COMPLETION_PROTECTS_S
+
     def verdict(self, request_fingerprint: str, now: float) -> Verdict:
         """Returns whether and how a request may run now.
 
@@ -119,15 +177,17 @@
         """
         if request_fingerprint not in self.crashes:
             return Verdict.RUN
-        deaths = self._counted_deaths(request_fingerprint, now)
+        deaths = self.counted_deaths(request_fingerprint, now)
         if len(deaths) < self.crash_threshold:
             return Verdict.RUN
-        for other_fingerprint in self.crashes:
-            if (
-                other_fingerprint != request_fingerprint
-                and deaths <= self._counted_deaths(other_fingerprint, now)
-            ):
-                return Verdict.ALONE
+        common_suspects = set.intersection(
+            *(self.suspects[death] for death in deaths)
+        )
+        if any(
+            deaths <= self.counted_deaths(other_fingerprint, now)
+            for other_fingerprint in common_suspects - {request_fingerprint}
+        ):
+            return Verdict.ALONE
         last_death_at = max(
             self.crashes[request_fingerprint][death] for death in deaths
         )
@@ -141,37 +201,108 @@
         """Returns the fingerprints of requests that are refused now."""
         return sorted(
             request_fingerprint
-            for request_fingerprint in self.crashes
-            if self.verdict(request_fingerprint, now) is Verdict.REFUSE
+            for request_fingerprint, deaths in self.crashes.items()
+            if len(deaths) >= self.crash_threshold
+            and self.verdict(request_fingerprint, now) is Verdict.REFUSE
         )
 
-    def all_crashes(self) -> list[Crash]:
-        """Returns all known crashes, to publish to peers."""
+    def counted_deaths(self, request_fingerprint: str, now: float) -> set[str]:
+        """Returns the recent deaths since the request was last cleared."""
+        counted_since = max(
+            now - self.keep_s,
+            self.cleared.get(request_fingerprint, float("-inf")),
+        )
+        deaths = self.crashes.get(request_fingerprint, {})
+        return {death for death, at in deaths.items() if at > counted_since}
+
+    def crashes_to_send(self, now: float) -> list[Crash]:
+        """Returns the crashes that a message to a peer carries.
+
+        They are the new ones and those of repeated suspects, up to a limit;
+        suspects of the most deaths come first.
+        """
         return [
             Crash(request_fingerprint, death, at)
-            for request_fingerprint, deaths in self.crashes.items()
-            for death, at in deaths.items()
+            for request_fingerprint in self._fingerprints_to_send(now)
+            for death, at in self.crashes[request_fingerprint].items()
+        ][:_MAX_SENT]
+
+    def cleared_to_send(self, now: float) -> dict[str, float]:
+        """Returns the clearances that a message to a peer carries.
+
+        They are the new ones and those of the suspects that it carries.
+
+        Returns:
+            Time up to which deaths don't count, by fingerprint.
+        """
+        fingerprints = [
+            *self._fingerprints_to_send(now),
+            *heapq.nlargest(
+                _MAX_SENT,
+                (
+                    request_fingerprint
+                    for request_fingerprint, at in self.cleared.items()
+                    if now - at < _SEND_S
+                ),
+                key=lambda name: self.cleared[name],
+            ),
         ]
+        return {
+            request_fingerprint: self.cleared[request_fingerprint]
+            for request_fingerprint in fingerprints
+            if request_fingerprint in self.cleared
+        }
 
     def expire(self, now: float) -> None:
-        """Drops deaths that no longer count."""
+        """Drops deaths that no longer count, and old completions."""
         for request_fingerprint, deaths in list(self.crashes.items()):
-            remaining_deaths = {
-                death: at
-                for death, at in deaths.items()
-                if at > now - self.keep_s
-            }
-            if remaining_deaths:
-                self.crashes[request_fingerprint] = remaining_deaths
-            else:
-                del self.crashes[request_fingerprint]
-                self.cleared.pop(request_fingerprint, None)
-
-    def _counted_deaths(self, request_fingerprint: str, now: float) -> set[str]:
-        """Returns the recent deaths since the request was last cleared."""
-        counted_since = max(
-            now - self.keep_s,
-            self.cleared.get(request_fingerprint, float("-inf")),
+            expired = [
+                death for death, at in deaths.items() if at <= now - self.keep_s
+            ]
+            for death in expired:
+                self._drop_death(request_fingerprint, death)
+            if not deaths:
+                self._drop_suspect(request_fingerprint)
+        while self.completed:
+            oldest = next(iter(self.completed))
+            if self.completed[oldest] > now - _COMPLETION_PROTECTS_S:
+                break
+            del self.completed[oldest]
+
+    def _fingerprints_to_send(self, now: float) -> list[str]:
+        return heapq.nlargest(
+            _MAX_SENT,
+            (
+                request_fingerprint
+                for request_fingerprint, deaths in self.crashes.items()
+                if len(deaths) >= _REPEATED
+                or any(now - at < _SEND_S for at in deaths.values())
+            ),
+            key=self._suspicion,
         )
+
+    def _suspicion(self, request_fingerprint: str) -> tuple[int, float]:
         deaths = self.crashes[request_fingerprint]
-        return {death for death, at in deaths.items() if at > counted_since}
+        return len(deaths), max(deaths.values(), default=0.0)
+
+    def _drop_least_suspect(self) -> None:
+        """Drops an eighth of the suspects, so that this is done rarely."""
+        for request_fingerprint in heapq.nsmallest(
+            len(self.crashes) - _MAX_SUSPECTS * 7 // 8,
+            self.crashes,
+            key=self._suspicion,
+        ):
+            self._drop_suspect(request_fingerprint)
+
+    def _drop_suspect(self, request_fingerprint: str) -> None:
+        for death in list(self.crashes[request_fingerprint]):
+            self._drop_death(request_fingerprint, death)
+        del self.crashes[request_fingerprint]
+        self.cleared.pop(request_fingerprint, None)
+
+    def _drop_death(self, request_fingerprint: str, death: str) -> None:
+        del self.crashes[request_fingerprint][death]
+        suspects = self.suspects[death]
+        suspects.discard(request_fingerprint)
+        if not suspects:
+            del self.suspects[death]
--- a/tamarackpier/request/relay.py
+++ b/tamarackpier/request/relay.py
@@ -258,7 +258,7 @@
             self._cancel_upstream()
         self._close_stream()
         if self.assembler.is_done:
-            relay.dispatcher.quarantine.clear(
+            relay.dispatcher.quarantine.complete(
                 self.call.fingerprint, relay.clock()
             )
             self._record_completion()
--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -264,7 +264,9 @@
             self.platform.crash(self.name, request_id)
             return
         if not serves_models:
-            await asyncio.sleep(_EVENT_INTERVAL_S)
+            await asyncio.sleep(
+                max(_EVENT_INTERVAL_S, self.platform.plain_answer_s)
+            )
             if not engine.is_alive:
                 return
             await _send_answer(
@@ -328,6 +330,7 @@
         fabric: Engines and their replicas.
         ran: IDs of the engines that started to run each request, by request
             ID.
+        plain_answer_s: Least time of an answer of a plain service, in seconds.
         crashing_bodies: Number of events after which an engine crashes that
             runs a request with this body, by body; 0 for before its answer.
         crashes: Time, in seconds on the monotonic clock, and request ID of
@@ -348,6 +351,7 @@
         self.store = RowStoreStandin()
         self.fabric = fabric_lib.Fabric(spec)
         self.ran: dict[str, list[str]] = collections.defaultdict(list)
+        self.plain_answer_s = 0.0
         self.crashing_bodies: dict[bytes, int] = {}
         self.crashes: list[tuple[float, str]] = []
         self.breaches: list[str] = []
--- a/tamarackpier/traffic/attempt.py
+++ b/tamarackpier/traffic/attempt.py
@@ -1,13 +1,25 @@
 """Sends one attempt of a request to one engine."""
 
+import asyncio
+import contextlib
 import dataclasses
+from collections.abc import Iterator
 
-from tamarackpier.traffic import caller, selection
+from tamarackpier.traffic import caller, crash_watch, selection
 from tamarackpier.traffic import relay as relay_lib
 from tamarackpier.traffic import run as run_lib
 from tamarackpier.upstream import gateway
 
-__all__ = ["CompleteAnswer", "deliver", "fetch_answer", "send"]
+__all__ = [
+    "CompleteAnswer",
+    "deliver",
+    "fetch_answer",
+    "send",
+    "watched_for_crash",
+]
+
+# Reasons of failures in which the connection to the engine broke.
+_BROKEN_REASONS = ("no_answer", "cut_off")
 
 
 def _check_answer(answer: gateway.Answer) -> str:
@@ -38,6 +50,33 @@
     body: bytes
 
 
+@contextlib.contextmanager
+def watched_for_crash(
+    relay: relay_lib.Relay, run: run_lib.Run, candidate: selection.Candidate
+) -> Iterator[None]:
+    """Reports to the relay's crash watch how an attempt ends."""
+    upstream = relay.upstream_of(candidate)
+
+    def record(is_broken: bool) -> None:
+        now = relay.clock()
+        attempt = crash_watch.EndedAttempt(
+            run.request.id, run.fingerprint, upstream, is_broken, now
+        )
+        relay.crash_watch.record(attempt, now)
+
+    try:
+        yield
+    except run_lib.AttemptFailedError as error:
+        if error.reason in _BROKEN_REASONS:
+            record(is_broken=True)
+        raise
+    except asyncio.CancelledError:
+        # Also for streams that leave a replica that lost a member.
+        record(is_broken=False)
+        raise
+    relay.quarantine.complete(run.fingerprint, relay.clock())
+
+
 async def send(
     relay: relay_lib.Relay,
     run: run_lib.Run,
@@ -113,23 +152,15 @@
     started_at = relay.clock()
     relay.engine_loads.begin(engine_id)
     try:
-        answer = await send(relay, run, candidate)
-        try:
-            chunks = []
-            while data := await answer.read():
-                chunks.append(data)
-        except gateway.AnswerBrokenError as error:
-            raise run_lib.AttemptFailedError(
-                "cut_off", str(error), False
-            ) from error
-        finally:
-            answer.close()
+        with watched_for_crash(relay, run, candidate):
+            answer = await send(relay, run, candidate)
+            body = await _read_body(answer)
         now = relay.clock()
         if answer.status >= 500:
             relay.engine_scores.record_failure(engine_id, now)
         else:
             relay.engine_scores.record_success(engine_id, now - started_at, now)
-        return CompleteAnswer(answer.status, answer.headers, b"".join(chunks))
+        return CompleteAnswer(answer.status, answer.headers, body)
     except run_lib.AttemptFailedError as error:
         run.last_failure = f"{engine_id}: {error}"
         relay.log_failed_attempt(run, candidate, error)
@@ -139,6 +170,25 @@
         relay.engine_loads.end(engine_id)
 
 
+async def _read_body(answer: gateway.Answer) -> bytes:
+    """Returns the complete body of an answer, and closes it.
+
+    Raises:
+        run_lib.AttemptFailedError: The answer was cut off.
+    """
+    chunks = []
+    try:
+        while data := await answer.read():
+            chunks.append(data)
+    except gateway.AnswerBrokenError as error:
+        raise run_lib.AttemptFailedError(
+            "cut_off", str(error), False
+        ) from error
+    finally:
+        answer.close()
+    return b"".join(chunks)
+
+
 async def deliver(connection: caller.Caller, answer: CompleteAnswer) -> None:
     """Sends a complete answer to the caller."""
     headers = [
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -24,6 +24,7 @@
 from tamarackpier.traffic import (
     budget,
     caller,
+    crash_watch,
     load,
     model,
     score,
@@ -47,6 +48,13 @@
 _MIN_RETRY_AFTER_S = 0.7
 _MAX_RETRY_AFTER_S = 1.8
 _NOT_CONFIGURED_RETRY_AFTER_S = 0.3
+# Number of upstream deaths that make a suspect. Engines end for other reasons
+# too, so the same request may be running on two of them by chance.
+_CRASH_THRESHOLD = 3
+# Time for which a death counts: a day's traffic.
+_QUARANTINE_S = 86_400.0
+# Long, since only a changed request or engine helps.
+_SUSPECT_RETRY_AFTER_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -91,6 +99,8 @@
         engine_scores: Latency and failure rate of engines of plain services.
         replica_scores: Slowness of replicas: the ratio of the measured to the
             expected time to the first event.
+        quarantine: Requests that are suspected of crashing upstreams.
+        crash_watch: Finds out which failed attempts ended with their upstream.
         budgets: Retry budgets by service.
         invariants: Checks of conditions that must always hold.
         rows_read_at: Returns the time at which the engines' rows were last
@@ -123,6 +133,8 @@
         self.engine_loads: load.Loads[str] = load.Loads()
         self.engine_scores = score.Scores()
         self.replica_scores = score.Scores()
+        self.quarantine = quarantine.Quarantine(_CRASH_THRESHOLD, _QUARANTINE_S)
+        self.crash_watch = crash_watch.CrashWatch(self.quarantine, counts)
         self.budgets: dict[str, budget.RetryBudget] = {}
         self.invariants = invariants.Invariants()
         self.rows_read_at: Callable[[], float] = clock
@@ -257,6 +269,18 @@
             routing.version,
         )
 
+    def upstream_of(
+        self, candidate: selection.Candidate
+    ) -> crash_watch.Upstream:
+        """Returns the upstream of a candidate, with all engines it needs."""
+        replica = (
+            self.fleet.replicas().get(candidate.key) if candidate.key else None
+        )
+        members: tuple[fleet_model.EngineRecord, ...] = (candidate.engine,)
+        if replica is not None:
+            members = tuple(engine for _, engine in replica.members)
+        return crash_watch.Upstream(candidate.key, members)
+
     def running_by_model(self) -> dict[str, int]:
         """Returns the requests in flight by model, over all instances."""
         totals: dict[str, int] = {}
@@ -279,9 +303,11 @@
         already.
 
         Raises:
-            run_lib.RefusedError: No untried upstream can take the request.
+            run_lib.RefusedError: No untried upstream can take the request, or
+                it is suspected of crashing upstreams.
         """
         now = self.clock()
+        verdict = self._check_suspicion(run, now)
         request = run.request
         criteria = selection.SelectionCriteria(
             self.settings.availability_zone,
@@ -313,6 +339,19 @@
             for candidate in candidates
             if candidate.upstream not in run.tried
         ]
+        if verdict is quarantine.Verdict.ALONE:
+            untried = [
+                candidate
+                for candidate in untried
+                if not candidate.usage.running
+            ]
+            if not untried:
+                raise run_lib.refusal(
+                    codes.CRASH_SUSPECT,
+                    f"fingerprint {run.fingerprint} may run only alone, and all"
+                    " upstreams run other requests",
+                    self._retry_after_s(),
+                )
         available = [
             candidate
             for candidate in untried
@@ -334,6 +373,25 @@
             self._retry_after_s(),
         )
 
+    def _check_suspicion(
+        self, run: run_lib.Run, now: float
+    ) -> quarantine.Verdict:
+        """Returns the quarantine's verdict if it lets a request run.
+
+        Raises:
+            run_lib.RefusedError: The request may not run.
+        """
+        verdict = self.quarantine.verdict(run.fingerprint, now)
+        if verdict in (quarantine.Verdict.RUN, quarantine.Verdict.ALONE):
+            return verdict
+        deaths = self.quarantine.counted_deaths(run.fingerprint, now)
+        raise run_lib.refusal(
+            codes.CRASH_SUSPECT,
+            f"fingerprint {run.fingerprint} was running when {len(deaths)}"
+            f" upstreams ended: {', '.join(sorted(deaths))}",
+            _SUSPECT_RETRY_AFTER_S,
+        )
+
     def _retry_after_s(self) -> float:
         """Returns after how many seconds a refused caller should retry.
 
@@ -417,6 +475,11 @@
             run: State of the request.
             reason: Short name of the failure, for counters and logs.
         """
+        try:
+            self._check_suspicion(run, self.clock())
+        except run_lib.RefusedError:
+            self.metrics.count("not_repeated", "crash_suspect")
+            return False
         if len(run.tried) >= _MAX_SENDS:
             self.metrics.count("not_repeated", "most_sends")
             return False
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -48,7 +48,8 @@
     """Returns the upstream at which a stream starts or resumes.
 
     A stream that has started, or that may have run, waits up to
-    `_RESUME_TIMEOUT_S` for an upstream that can take it.
+    `_RESUME_TIMEOUT_S` for an upstream that can take it, unless it is suspected
+    of crashing upstreams.
 
     Raises:
         run_lib.RefusedError: No upstream can take the stream, or none could
@@ -61,7 +62,8 @@
         except run_lib.RefusedError as error:
             if not connection.is_started and not run.may_have_run:
                 raise
-            if relay.clock() >= give_up_at:
+            is_suspect = error.fault.code is codes.CRASH_SUSPECT
+            if is_suspect or relay.clock() >= give_up_at:
                 raise run_lib.RefusedError(
                     codes.fault(codes.STREAM_INCOMPLETE, str(error))
                 ) from error
@@ -155,9 +157,12 @@
     """
     try:
         async with asyncio.timeout(None) as scope:
-            with _tracked_attempt(
-                relay, run, candidate, scope
-            ) as stream_attempt:
+            with (
+                _tracked_attempt(
+                    relay, run, candidate, scope
+                ) as stream_attempt,
+                attempt.watched_for_crash(relay, run, candidate),
+            ):
                 await _pass_on(
                     relay, run, candidate, stream, connection, stream_attempt
                 )
--- a/tests/exchange_fixtures.py
+++ b/tests/exchange_fixtures.py
@@ -3,6 +3,7 @@
 import random
 import types
 
+from tamarackpier import quarantine
 from tamarackpier.daemon import peer_status
 from tamarackpier.fleet import fleet_view
 from tamarackpier.peer import partners
@@ -36,7 +37,9 @@
         self.fleet.set_services(hosted_fixtures.services())
         self.fleet.replace(hosted_fixtures.replica_records(), 0.0)
         self.relay = types.SimpleNamespace(
-            replica_loads=load.Loads(), engine_loads=load.Loads()
+            replica_loads=load.Loads(),
+            engine_loads=load.Loads(),
+            quarantine=quarantine.Quarantine(3, 1000.0),
         )
         self.suspended = []
         self.roster = roster_lib.Roster(presence(index))
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies
 from returns import result
 
-from tamarackpier import codes, failures, metrics
+from tamarackpier import codes, failures, metrics, quarantine
 from tamarackpier.daemon import (
     entry_peers,
     peer_status,
@@ -29,6 +29,8 @@
 MAX_GROWTH_BYTES = 1_000_000
 # Target for control traffic of an instance at the two-year fleet size.
 MAX_BYTES_PER_S = 29_000
+# Bound by which all instances know of a crash.
+KNOWN_AFTER_S = 3.0
 
 
 def test_in_small_fleet_every_pair_exchanges():
@@ -61,6 +63,28 @@
     )
 
 
+def test_crashes_found_by_different_instances_are_known_to_all_of_a_fleet():
+    fleet = exchange_fixtures.Fleet(69)
+    fleet.run(12)
+    nodes = list(fleet.nodes.values())
+    for number in range(3):
+        nodes[20 * number].relay.quarantine.add(
+            [quarantine.Crash("f", f"o{number}@1", fleet.now)]
+        )
+    late = fleet.nodes[nodes[68].roster.own_presence.peer_address]
+    fleet.dead.add(late.roster.own_presence.peer_address)
+    fleet.run(int(KNOWN_AFTER_S / exchange_fixtures.ROUND_S))
+    for node in nodes[:68]:
+        verdict = node.relay.quarantine.verdict("f", fleet.now)
+        assert verdict is quarantine.Verdict.REFUSE
+    # An instance that comes back later learns of it as well.
+    fleet.run(40)
+    fleet.dead.clear()
+    fleet.run(12)
+    verdict = late.relay.quarantine.verdict("f", fleet.now)
+    assert verdict is quarantine.Verdict.REFUSE
+
+
 def test_usage_and_claims_reach_instances_that_are_not_partners():
     fleet = exchange_fixtures.Fleet(69)
     first = next(iter(fleet.nodes.values()))
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -6,7 +6,13 @@
 from hypothesis import strategies
 
 from tamarackpier import quarantine
-from tamarackpier.peer import addresses, codec, interest, membership
+from tamarackpier.peer import (
+    addresses,
+    codec,
+    crash_codec,
+    interest,
+    membership,
+)
 from tamarackpier.wire import peer_pb2
 from tests import fixtures
 
@@ -169,8 +175,8 @@
     # The request was sent before the reply was built.
     assert codec.evidence_from_wire(message, asked_at=12.4).at <= 9.9
     crash = quarantine.Crash("f", "r@1", 10.0)
-    message = codec.crash_to_wire(crash, now=12.5)
-    assert codec.crash_from_wire(message, asked_at=12.4).at <= 9.9
+    message = crash_codec.crash_to_wire(crash, now=12.5)
+    assert crash_codec.crash_from_wire(message, asked_at=12.4).at <= 9.9
 
 
 @hypothesis.settings(derandomize=True, database=None)
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,218 @@
+"""Tests of suspects of upstream crashes, without network or engines."""
+
+import dataclasses
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from tamarackpier import metrics, quarantine
+from tamarackpier.fleet import model
+from tamarackpier.peer import crash_codec
+from tamarackpier.traffic import crash_watch
+from tamarackpier.wire import entry_pb2
+from tests import hosted_fixtures
+
+ENGINE = hosted_fixtures.record("o1", service="orders", domain="")
+
+
+def _quarantine(*crashes, threshold=3):
+    suspects = quarantine.Quarantine(threshold, keep_s=1000.0)
+    suspects.add(quarantine.Crash(*crash) for crash in crashes)
+    return suspects
+
+
+def _watch():
+    return crash_watch.CrashWatch(_quarantine(), metrics.Metrics())
+
+
+def _ended(engine=ENGINE, at=10.0, **changes):
+    upstream = crash_watch.Upstream(None, (engine,))
+    values = {"is_broken": True, "at": at} | changes
+    return crash_watch.EndedAttempt("req-1", "f", upstream, **values)
+
+
+def test_three_deaths_without_a_completion_refuse_a_request():
+    suspects = _quarantine(("bad", "d1", 10), ("bad", "d2", 11))
+    assert suspects.verdict("bad", 20.0) is quarantine.Verdict.RUN
+    suspects.add([quarantine.Crash("bad", "d3", 12.0)])
+    assert suspects.verdict("bad", 20.0) is quarantine.Verdict.REFUSE
+
+
+def test_deaths_soon_after_a_completion_do_not_incriminate():
+    suspects = _quarantine()
+    suspects.complete("common", 5.0)
+    for death in ("d1", "d2", "d3"):
+        suspects.add([quarantine.Crash("common", death, 6.0)])
+    assert suspects.verdict("common", 8.0) is quarantine.Verdict.RUN
+    # Long after the completion, an engine of another version may crash.
+    for death in ("d4", "d5", "d6"):
+        suspects.add([quarantine.Crash("common", death, 100.0)])
+    assert suspects.verdict("common", 110.0) is quarantine.Verdict.REFUSE
+
+
+def test_a_completion_at_one_instance_protects_the_request_at_others():
+    first, second = _quarantine(), _quarantine()
+    first.complete("common", 5.0)
+    second.add(
+        quarantine.Crash("common", death, 6.0) for death in ("d1", "d2", "d3")
+    )
+    for source, target in ((second, first), (first, second)):
+        message = entry_pb2.EntryStatus()
+        crash_codec.add_crashes(source, message, 7.0)
+        crash_codec.merge_crashes(target, message, 7.1)
+    assert second.verdict("common", 9.0) is quarantine.Verdict.RUN
+
+
+def test_state_and_messages_stay_bounded_and_keep_the_worst_suspects():
+    suspects = _quarantine(
+        *(("bad", f"d{number}", 10.0 + number) for number in range(100))
+    )
+    suspects.add(
+        quarantine.Crash(f"f{number}", f"e{number}", 200.0)
+        for number in range(20_000)
+    )
+    for number in range(5000):
+        suspects.complete(f"c{number}", 200.0)
+    assert len(suspects.crashes) <= 4096
+    assert len(suspects.suspects) <= 4096 + 16
+    assert len(suspects.completed) <= 2048
+    assert suspects.verdict("bad", 210.0) is quarantine.Verdict.REFUSE
+    message = entry_pb2.EntryStatus()
+    crash_codec.add_crashes(suspects, message, 201.0)
+    assert message.ByteSize() < 8192
+    assert message.crashes[0].fingerprint == "bad"
+    suspects.expire(10_000.0)
+    assert not suspects.crashes
+    assert not suspects.suspects
+    assert not suspects.completed
+
+
+@hypothesis.settings(derandomize=True, database=None)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from("abcd"),
+            strategies.sampled_from(["d1", "d2", "d3", "d4"]),
+            strategies.floats(0, 50),
+        )
+    ),
+    strategies.integers(0, 100),
+)
+def test_instances_agree_whatever_the_order_of_messages(crashes, seed):
+    shuffled = list(crashes)
+    random.Random(seed).shuffle(shuffled)
+    first, second = _quarantine(*crashes), _quarantine(*shuffled)
+    for name in "abcd":
+        assert first.verdict(name, 60.0) is second.verdict(name, 60.0)
+
+
+@hypothesis.settings(derandomize=True, database=None)
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_message_of_a_peer_leaves_a_usable_quarantine(data):
+    message = entry_pb2.EntryStatus()
+    try:
+        message.ParseFromString(data)
+    except Exception as error:
+        assert type(error).__name__ == "DecodeError"
+        return
+    suspects = _quarantine()
+    try:
+        crash_codec.merge_crashes(suspects, message, 5.0)
+    except ValueError:
+        return
+    for name in [*suspects.crashes, "other"]:
+        suspects.verdict(name, 6.0)
+    suspects.expire(1e9)
+    assert not suspects.crashes
+
+
+def test_a_broken_connection_to_an_engine_that_lives_is_no_crash():
+    watch = _watch()
+    watch.record(_ended(), 10.0)
+    assert [upstream.engines for upstream in watch.due_for_probe(10.0)] == [
+        (ENGINE,)
+    ]
+    death = watch.due_for_probe(11.0)[0].death
+    watch.apply_probe(death, (), True, 11.0, 11.1)
+    assert not watch.undecided
+    watch.check_rows({}, 12.0)
+    assert not watch.quarantine.crashes
+
+
+def test_a_probe_that_began_before_the_break_decides_nothing():
+    watch = _watch()
+    watch.record(_ended(at=10.0), 10.0)
+    watch.apply_probe("o1@1", (), True, 9.9, 10.1)
+    watch.apply_probe("o1@1", ("o1",), False, 10.2, 10.3)
+    assert watch.quarantine.crashes["f"] == {"o1@1": 10.3}
+
+
+def test_an_engine_that_restarted_or_disappeared_is_a_death_of_its_attempts():
+    restarted = dataclasses.replace(ENGINE, incarnation=2)
+    for rows in ({"o1": restarted}, {}):
+        watch = _watch()
+        watch.record(_ended(is_broken=False), 10.0)
+        watch.check_rows({"o1": ENGINE}, 10.1)
+        assert not watch.quarantine.crashes
+        watch.check_rows(rows, 13.6)
+        assert list(watch.quarantine.crashes["f"]) == ["o1@1"]
+        # Another attempt that ends later with the same engine.
+        watch.record(
+            dataclasses.replace(_ended(at=13.7), fingerprint="g"), 13.7
+        )
+        assert list(watch.quarantine.crashes["g"]) == ["o1@1"]
+
+
+def test_an_engine_that_leaves_is_no_death():
+    leaving = dataclasses.replace(ENGINE, is_leaving=True)
+    watch = _watch()
+    watch.record(_ended(), 10.0)
+    watch.check_rows({"o1": leaving}, 10.1)
+    watch.check_rows({}, 11.0)
+    watch.apply_probe("o1@1", ("o1",), False, 11.0, 11.1)
+    watch.record(_ended(leaving, at=11.2), 11.2)
+    assert not watch.quarantine.crashes
+    watch.check_rows({}, 30.0)
+    assert not watch.undecided
+
+
+def test_the_loss_of_any_member_is_the_death_of_the_replica():
+    records = hosted_fixtures.replica_records("r1", fence=7)
+    key = model.ReplicaKey("r1", 7)
+    watch = _watch()
+    watch.record(
+        crash_watch.EndedAttempt(
+            "req-1", "f", crash_watch.Upstream(key, tuple(records)), False, 5.0
+        ),
+        5.0,
+    )
+    watch.apply_probe("r1@7", ("r1-2",), False, 5.1, 5.2)
+    assert list(watch.quarantine.crashes["f"]) == ["r1@7"]
+
+
+def test_a_death_that_a_peer_found_counts_for_own_attempts():
+    watch = _watch()
+    watch.record(_ended(), 10.0)
+    watch.quarantine.add([quarantine.Crash("other", "o1@1", 10.1)])
+    watch.confirm_known(10.2)
+    assert set(watch.quarantine.suspects["o1@1"]) == {"f", "other"}
+
+
+def test_undecided_attempts_stay_bounded():
+    watch = _watch()
+    for number in range(1000):
+        engine = dataclasses.replace(ENGINE, id=f"o{number}")
+        for _ in range(100):
+            watch.record(_ended(engine), 10.0)
+    assert sum(len(item.attempts) for item in watch.undecided.values()) <= (
+        256 * 64
+    )
+    watch.check_rows(
+        {
+            f"o{number}": dataclasses.replace(ENGINE, id=f"o{number}")
+            for number in range(1000)
+        },
+        30.0,
+    )
+    assert not watch.undecided
--- a/tests/test_request.py
+++ b/tests/test_request.py
@@ -381,7 +381,8 @@
     crashes = [("bad", "r1"), ("good", "r1"), ("bad", "r2")]
     source = _quarantine(*crashes)
     target = _quarantine()
-    for crash in [*source.all_crashes(), *reversed(source.all_crashes())]:
+    sent = source.crashes_to_send(12.0)
+    for crash in [*sent, *reversed(sent)]:
         target.add([crash])
     assert target.crashes == source.crashes
     target.expire(1000.0)
