Keep counted retries when the settings are reloaded

HostedInstance.reload dropped the budgets of all services, and a new one counts its constant part in full, because the process started long ago.

The limits of the existing budgets change in place; counts move to buckets of a changed window. The test spent three times the limit before (failed), once now. The budget of request/ has no reload and no window.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -364,13 +364,14 @@
         """Applies the bounds of changed settings."""
         self.settings = settings
         bounds = settings.bounds
-        self.relay.settings = relay.RelaySettings(
-            self.relay.settings.availability_zone,
-            bounds.retry_ratio,
-            bounds.retry_extra,
-            bounds.retry_window_s,
+        self.relay.apply_settings(
+            relay.RelaySettings(
+                self.relay.settings.availability_zone,
+                bounds.retry_ratio,
+                bounds.retry_extra,
+                bounds.retry_window_s,
+            )
         )
-        self.relay.budgets.clear()
         logs.event("reloaded")
 
     def _apply_routing(self, routing: table.RoutingTable) -> None:
--- a/tamarackpier/traffic/budget.py
+++ b/tamarackpier/traffic/budget.py
@@ -59,6 +59,23 @@
         # Each bucket is [index, requests, retries].
         self._buckets: collections.deque[list[float]] = collections.deque()
 
+    def set_limits(self, ratio: float, extra: float, window_s: float) -> None:
+        """Changes the limits; what was counted stays counted."""
+        self.ratio = ratio
+        self.extra = extra
+        self.window_s = window_s
+        old_bucket_s = self._bucket_s
+        self._bucket_s = window_s / _BUCKETS_PER_WINDOW
+        if self._bucket_s == old_bucket_s:
+            return
+        buckets, self._buckets = self._buckets, collections.deque()
+        for index, requests, retries in buckets:
+            new_index = index * old_bucket_s // self._bucket_s
+            if not self._buckets or self._buckets[-1][0] < new_index:
+                self._buckets.append([new_index, 0, 0])
+            self._buckets[-1][1] += requests
+            self._buckets[-1][2] += retries
+
     def count_request(self, now: float) -> None:
         """Counts a request to the service."""
         self._bucket(now)[1] += 1
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -208,6 +208,16 @@
         self.routing = routing
         self.fleet.set_services(routing.configuration.services)
 
+    def apply_settings(self, settings: RelaySettings) -> None:
+        """Puts changed settings into force."""
+        self.settings = settings
+        for service_budget in self.budgets.values():
+            service_budget.set_limits(
+                settings.retry_ratio,
+                settings.retry_extra,
+                settings.retry_window_s,
+            )
+
     def retry_budget(self, service: str) -> budget.RetryBudget:
         """Returns the retry budget of a service."""
         service_budget = self.budgets.get(service)
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -278,6 +278,17 @@
     assert retry_count <= 100
 
 
+def test_retries_count_against_changed_limits_of_the_budget():
+    for window_s in (5.0, 10.0, 20.0):
+        retry_budget = budget.RetryBudget(0.2, 100.0, 10.0, -60.0)
+        for _ in range(40):
+            assert retry_budget.spend(0.0)
+        retry_budget.set_limits(0.2, 40.0, window_s)
+        assert not retry_budget.spend(0.1)
+        retry_budget.set_limits(0.2, 100.0, window_s)
+        assert retry_budget.usage(0.2).retries == 40
+
+
 def test_a_newly_started_process_has_a_small_retry_budget():
     retry_budget = budget.RetryBudget(0.2, 100.0, 10.0, 0.0)
     retry_count = 0
--- a/tests/test_hosted_whole.py
+++ b/tests/test_hosted_whole.py
@@ -349,3 +349,22 @@
 
     async def transact(self, transaction):
         return failures.failure(codes.TABLE_UNAVAILABLE, "HTTP 503")
+
+
+def test_a_reload_does_not_renew_the_retry_budget():
+    async def check(deployment):
+        instance = deployment.instances[0]
+        clock = instance.clock
+        # As if the process had started long ago.
+        instance.relay.started_at -= 60.0
+        retry_budget = instance.relay.retry_budget("drafts")
+        spent = 0
+        for _ in range(3):
+            while retry_budget.spend(clock()):
+                spent += 1
+            instance.reload(instance.settings)
+            retry_budget = instance.relay.retry_budget("drafts")
+        bounds = instance.settings.bounds
+        assert 0 < spent <= bounds.retry_extra / instance.relay.instances
+
+    deployment_fixtures.run(check, count=1)
