Count stream attempts that an engine may have begun before a loss

Cause: an attempt that left a replica with a lost member before any data arrived was taken for never begun, since a stalled lead starts nothing. But the lead may have begun it before it lost the member, and its first event is lost with the stall. Class: absence of evidence taken as evidence.

An attempt counts now unless the replica had stalled when it was sent: a stream that it was already serving was overdue at that moment. The old test asserted three sends at idle replicas; its successor is as strict, asserts two there (three, failed, before this change), and a second one keeps three for replicas that had stalled.

--- a/tamarackpier/traffic/run.py
+++ b/tamarackpier/traffic/run.py
@@ -41,10 +41,9 @@
         tried: IDs of the upstreams that it was sent to.
         counted_attempts: Number of attempts that count against the route's
             `max_attempts`: those that may have run the request, except at a
-            replica that has lost a member.
+            replica that had already lost a member.
         possible_runs: Number of attempts in which an engine may have run the
             request.
-        has_received_data: Whether the last attempt of a stream got any data.
         last_failure: Engine ID and error of the last failed attempt, for logs
             and faults.
     """
@@ -61,7 +60,6 @@
     tried: list[str] = dataclasses.field(default_factory=list)
     counted_attempts: int = 0
     possible_runs: int = 0
-    has_received_data: bool = False
     last_failure: str = ""
 
     @property
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -22,6 +22,8 @@
 
 _RESUME_TIMEOUT_S = 1.7  # Callers abandon a stream after 2 s of silence.
 _RESUME_POLL_S = 0.05
+# Reason of a failed attempt that no engine has begun to run.
+_MOVED_BEFORE_START = "moved_before_start"
 
 
 @relay_lib.STRATEGIES.register(routing_model.RouteKind.STREAM.value)
@@ -81,9 +83,7 @@
     Raises:
         run_lib.RefusedError: The stream may not be sent again.
     """
-    # A replica that lost a member doesn't start requests that it gets later.
-    is_not_started = error.reason == "moved" and not run.has_received_data
-    if not error.is_not_run and not is_not_started:
+    if not error.is_not_run and error.reason != _MOVED_BEFORE_START:
         run.counted_attempts += 1
     may_resume = run.route.is_resumable or error.is_not_run
     if may_resume and relay.may_retry(run, error.reason):
@@ -135,7 +135,7 @@
     if candidate.key is None:
         yield stream_attempt
         return
-    relay.streams.add(stream_attempt)
+    relay.streams.add(stream_attempt, relay.clock())
     try:
         yield stream_attempt
     finally:
@@ -169,16 +169,25 @@
     except TimeoutError:
         if not stream_attempt.move_reason:
             raise
-        reason = (
-            "stuck"
-            if stream_attempt.move_reason == stream_attempts.STUCK
-            else "moved"
-        )
         raise run_lib.AttemptFailedError(
-            reason, stream_attempt.move_reason, False
+            _move_name(stream_attempt), stream_attempt.move_reason, False
         ) from None
 
 
+def _move_name(stream_attempt: stream_attempts.StreamAttempt) -> str:
+    """Returns the short name of the reason why an attempt was moved."""
+    if stream_attempt.move_reason == stream_attempts.STUCK:
+        return "stuck"
+    # A replica that has lost a member starts none of the requests that it gets
+    # later.
+    if (
+        stream_attempt.was_stalled_at_start
+        and not stream_attempt.has_received_data
+    ):
+        return _MOVED_BEFORE_START
+    return "moved"
+
+
 async def _pass_on(
     relay: relay_lib.Relay,
     run: run_lib.Run,
@@ -194,7 +203,6 @@
     """
     key = stream_attempt.key
     unread_tokens = run.request.prompt_tokens
-    run.has_received_data = False
     sent_at = relay.clock()
     relay.replica_loads.begin(key, unread_tokens)
     answer = None
@@ -209,7 +217,7 @@
             now = relay.clock()
             relay.streams.record_data(key, now)
             stream_attempt.waiting_since = None
-            run.has_received_data = run.has_received_data or bool(data)
+            stream_attempt.has_received_data |= bool(data)
             if unread_tokens and data:
                 relay.replica_loads.finish_reading(key, unread_tokens)
                 unread_tokens = 0
--- a/tamarackpier/traffic/stream_attempts.py
+++ b/tamarackpier/traffic/stream_attempts.py
@@ -43,6 +43,9 @@
         reading_s: Expected time of reading prompts at the replica, in seconds.
         move_reason: Why the stream has to resume at another replica; empty
             while it doesn't.
+        has_received_data: Whether the engine has sent any data.
+        was_stalled_at_start: Whether the replica had stalled when the attempt
+            was sent: a stream that it was running was overdue.
     """
 
     request_id: str
@@ -53,6 +56,8 @@
     event_interval_s: float
     reading_s: float
     move_reason: str = ""
+    has_received_data: bool = False
+    was_stalled_at_start: bool = False
 
     def interrupt(self, reason: str) -> None:
         """Ends the attempt, so that the stream resumes at another replica."""
@@ -79,8 +84,12 @@
         self.last_data_at: dict[model.ReplicaKey, float] = {}
         self.probed_at: dict[model.ReplicaKey, float] = {}
 
-    def add(self, attempt: StreamAttempt) -> None:
-        """Adds an attempt."""
+    def add(self, attempt: StreamAttempt, now: float) -> None:
+        """Adds an attempt that is about to be sent."""
+        attempt.was_stalled_at_start = any(
+            other.has_received_data and self._overdue_s(other, now) > 0
+            for other in self.by_key.get(attempt.key, ())
+        )
         self.by_key[attempt.key].add(attempt)
 
     def remove(self, attempt: StreamAttempt) -> None:
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -410,7 +410,7 @@
             stream_attempt = stream_attempts.StreamAttempt(
                 "q", key, "e", timeout_scope, 0.0, 0.04, 0.05
             )
-            streams.add(stream_attempt)
+            streams.add(stream_attempt, 0.0)
             assert streams.silent(0.2) == []
             assert streams.silent(0.25)[0][0] == key
             streams.record_data(key, 0.2)
@@ -600,7 +600,7 @@
         stream_attempt = stream_attempts.StreamAttempt(
             "q", key, "e", FakeTimeout(), 8.0, 0.04, 0.0
         )
-        streams.add(stream_attempt)
+        streams.add(stream_attempt, 0.0)
         return await prober.probe(key, "silent"), stream_attempt.move_reason
 
     class FakeTimeout:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -393,33 +393,78 @@
     _run(check)
 
 
-def test_only_attempts_at_a_replica_that_lost_a_member_are_not_counted():
-    async def hang(arrival):
+async def _count_sends(reason, first_event_s=None, wait_s=0.0):
+    """Returns how often a stream is sent that leaves three replicas in turn.
+
+    Args:
+        reason: Why it leaves each of them.
+        first_event_s: Time after which another stream at each replica gets its
+            only event, in seconds; None for no other stream.
+        wait_s: Time between the start of the other streams and that of the
+            counted one, in seconds.
+    """
+
+    async def work(arrival):
+        if arrival.header(wire.Header.REQUEST_ID) == "other":
+            await asyncio.sleep(first_event_s)
+            head = STREAM_HEAD.format(id="other")
+            head += "Transfer-Encoding: chunked\r\n\r\n"
+            await arrival.write(head.encode() + _chunk(_events(1, 1)))
         await asyncio.sleep(30)
 
-    async def sends(reason):
-        async with rough_engine.serve_script(hang) as (address, arrivals):
-            records = [
-                record
-                for name in ("r1", "r2", "r3")
-                for record in _replica(name, address)
-            ]
-            async with _relay(records) as request_relay:
-                request = _request("/draft/1")
-                task = asyncio.ensure_future(
-                    request_relay.handle(request, _Caller())
-                )
-                for count in range(1, 4):
-                    while len(arrivals) < count and not task.done():
-                        await asyncio.sleep(0.01)
-                    for key in list(request_relay.streams.by_key):
-                        request_relay.streams.interrupt(key, reason)
-                await task
-        return len(arrivals)
+    async with rough_engine.serve_script(work) as (address, arrivals):
+        records = [
+            record
+            for name in ("r1", "r2", "r3")
+            for record in _replica(name, address)
+        ]
+        async with _relay(records) as request_relay:
+            other_tasks = []
+            if first_event_s is not None:
+                other_tasks = [
+                    asyncio.ensure_future(
+                        request_relay.handle(_request(id="other"), _Caller())
+                    )
+                    for _ in range(3)
+                ]
+            await asyncio.sleep(wait_s)
+            other_count = len(arrivals)
+            task = asyncio.ensure_future(
+                request_relay.handle(_request(), _Caller())
+            )
+            for count in range(1, 4):
+                while len(arrivals) - other_count < count and not task.done():
+                    await asyncio.sleep(0.01)
+                for attempts in list(request_relay.streams.by_key.values()):
+                    for attempt in list(attempts):
+                        if attempt.request_id == "req-1":
+                            attempt.interrupt(reason)
+            await task
+            for other_task in other_tasks:
+                other_task.cancel()
+    return len(arrivals) - other_count
+
+
+def test_attempts_that_engines_may_have_begun_count_for_max_attempts():
+    lost = "r1-2 did not answer"
+
+    async def check():
+        assert await _count_sends(stream_attempts.STUCK) == 2
+        # The lead may have begun the stream before it lost the member.
+        assert await _count_sends(lost) == 2
+        # The replica served another stream after this one was sent.
+        assert await _count_sends(lost, first_event_s=0.3, wait_s=0.29) == 2
+
+    _run(check)
+
+
+def test_attempts_at_a_replica_that_had_already_stalled_are_not_counted():
+    lost = "r1-2 did not answer"
 
     async def check():
-        assert await sends(stream_attempts.STUCK) == 2
-        assert await sends("r1-2 did not answer") == 3
+        assert await _count_sends(lost, first_event_s=0.0, wait_s=0.5) == 3
+        stuck = stream_attempts.STUCK
+        assert await _count_sends(stuck, first_event_s=0.0, wait_s=0.5) == 2
 
     _run(check)
 
