Suspect a model call whose engine ends before its first piece

What callers saw: on the product's own face a request that crashes engines before they answer was sent on and on, and its neighbours failed with it.

Cause: the quarantine learned only of streams that broke after they were opened. A connection that breaks before the answer's head is a failed open (UPSTREAM_FAILED), which the quarantine never saw. Class: one protection for two ways of the same event, wired to one of them.

Both now make the call a suspect, resolved by the replica's evidence as before, so an engine that answers with an error and lives is none.

--- a/tamarackpier/request/relay.py
+++ b/tamarackpier/request/relay.py
@@ -42,7 +42,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class SuspectedCrash:
-    """A broken stream whose replica may have crashed.
+    """An attempt that broke off, whose replica may have crashed.
 
     Attributes:
         fingerprint: Fingerprint of the request's content.
@@ -68,7 +68,7 @@
         progress_timeout_s: Seconds without data after which a stream is
             treated as stalled.
         runs: Calls in progress by request ID.
-        suspected_crashes: Broken streams for which it is not yet known
+        suspected_crashes: Attempts that broke off, as long as it is not known
             whether the replica crashed.
     """
 
@@ -194,7 +194,8 @@
         is_silent: Whether the last stream was aborted because it stalled.
         may_have_run: Whether an engine may have executed part of the call.
         avoided_replicas: IDs of replicas to use only if no other has room.
-        broken_streams: Number of streams that broke without being stalled.
+        broken_attempts: Number of attempts that the engine broke off, before
+            its answer or in it.
         unread_pieces: Pieces received but not yet returned by `read`.
         last_replica_id: Replica of the last attempt.
         lead: Lead instance of the last attempt.
@@ -220,7 +221,7 @@
         self.is_silent = False
         self.may_have_run = False
         self.avoided_replicas: frozenset[str] = frozenset()
-        self.broken_streams = 0
+        self.broken_attempts = 0
         self.unread_pieces = b""
         self.last_replica_id = ""
         self.lead = ""
@@ -359,12 +360,12 @@
         """Waits until the crashes that this call may have caused are resolved.
 
         The wait is limited to `_CRASH_VERDICT_POLLS` polls. It applies once
-        the broken streams of the call reach the crash threshold of the
+        the broken attempts of the call reach the crash threshold of the
         quarantine, two by default: a request that crashes its replicas must
         not be sent to a third one before the first two crashes are counted.
         """
         if (
-            self.broken_streams
+            self.broken_attempts
             < self.relay.dispatcher.quarantine.crash_threshold
         ):
             return
@@ -445,6 +446,7 @@
         self.avoided_replicas |= {slot.evidence.replica_id}
         if fault.code is codes.UPSTREAM_FAILED:
             self.may_have_run = True
+            self._suspect_crash(slot)
         if fault.code in (codes.UPSTREAM_UNREACHABLE, codes.UPSTREAM_FAILED):
             relay.dispatcher.breakers.record_failure(
                 slot.evidence.lead, relay.clock(), relay.rng
@@ -471,16 +473,8 @@
         )
         relay.metrics.count("retry", f"stream_{reason}")
         if not self.is_silent:
-            self.broken_streams += 1
+            self._suspect_crash(slot)
             self.avoided_replicas |= {slot.evidence.replica_id}
-            relay.suspected_crashes.append(
-                SuspectedCrash(
-                    self.call.fingerprint,
-                    slot.evidence.replica_id,
-                    slot.evidence.fence,
-                    relay.clock(),
-                )
-            )
             relay.dispatcher.breakers.record_failure(
                 slot.evidence.lead, relay.clock(), relay.rng
             )
@@ -490,6 +484,18 @@
             self.avoided_replicas |= {slot.evidence.replica_id}
         self._close_stream()
 
+    def _suspect_crash(self, slot: dispatch.Slot) -> None:
+        """Records that the replica may have crashed while it ran the call."""
+        self.broken_attempts += 1
+        self.relay.suspected_crashes.append(
+            SuspectedCrash(
+                self.call.fingerprint,
+                slot.evidence.replica_id,
+                slot.evidence.fence,
+                self.relay.clock(),
+            )
+        )
+
     def _close_stream(self) -> None:
         if self.engine_stream is not None:
             self.engine_stream.close()
--- a/tamarackpier/standin/engine.py
+++ b/tamarackpier/standin/engine.py
@@ -28,6 +28,8 @@
 ]
 
 CRASH_MARKER = "crash-the-engine"  # A request that contains it crashes a lead.
+# A request that contains it crashes a lead before the lead answers.
+EARLY_CRASH_MARKER = "crash-the-engine-at-once"
 STATUS_CONFLICT = 409
 STATUS_TOO_MANY_REQUESTS = 429
 _TOKEN_DIGITS = 6
--- a/tamarackpier/standin/links.py
+++ b/tamarackpier/standin/links.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import json
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -306,6 +307,10 @@
             call.max_tokens,
             dispatch.delivered_pieces,
         )
+        if engine.EARLY_CRASH_MARKER in json.dumps(call.content):
+            lead.crash(world.clock())
+            world.farm.on_crash(lead)
+            return result.Failure(codes.fault(codes.UPSTREAM_FAILED, "crashed"))
         pieces = world.farm.generate(lead, job, world.clock)
         stream = FakeStream(pieces, self.link)
         world.streams.append(stream)
