Bound what upstreams can send that is no answer, on the own face

What callers saw: nothing yet. The clients of request/ read reports, refusals, error answers and answers of plain services to their end without a limit, a refusal of a call even without a timeout.

Connections to engines and services use the bounded connector, and bodies that are read whole have limits; a refusal's body has a second.

--- a/tamarackpier/daemon/main.py
+++ b/tamarackpier/daemon/main.py
@@ -20,6 +20,7 @@
 from tamarackpier import settings as settings_lib
 from tamarackpier.daemon import callers, http, operators
 from tamarackpier.daemon import node as node_lib
+from tamarackpier.upstream import bounded_http
 from tamarackpier.wire import peer_pb2_grpc
 
 __all__ = ["create_app", "main", "serve"]
@@ -64,8 +65,8 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
-    pooled = aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
-    unpooled = aiohttp.TCPConnector(limit=0, force_close=True)
+    pooled = bounded_http.BoundedConnector(limit=0, keepalive_timeout=30)
+    unpooled = bounded_http.BoundedConnector(limit=0, force_close=True)
     no_timeout = aiohttp.ClientTimeout(total=None)
     async with (
         aiohttp.ClientSession(connector=pooled, timeout=no_timeout) as session,
--- a/tamarackpier/upstream/engine.py
+++ b/tamarackpier/upstream/engine.py
@@ -1,5 +1,6 @@
 """Client for model engines over HTTP, as docs/UPSTREAMS.md describes them."""
 
+import asyncio
 import dataclasses
 import json
 from typing import Any, Protocol
@@ -10,6 +11,7 @@
 from tamarackpier import codes, failures
 from tamarackpier.replica import model as replica_model
 from tamarackpier.request import model as request_model
+from tamarackpier.upstream import bounded_http
 
 __all__ = [
     "BrokenStreamError",
@@ -26,6 +28,11 @@
 _SERVICE_UNAVAILABLE = 503
 _NOT_RUN_STATUSES = (_CONFLICT, _TOO_MANY_REQUESTS, _SERVICE_UNAVAILABLE)
 _CONNECT_TIMEOUT_S = 1.0
+# Time for the body of an answer that refuses a call; its head has arrived.
+_REFUSAL_TIMEOUT_S = 1.0
+# Maximum size of a report or of a refusal's body.
+_MAX_CALL_BYTES = 1 << 18
+_MAX_DETAIL_BYTES = 200
 
 
 class BrokenStreamError(Exception):
@@ -167,7 +174,9 @@
                     return failures.failure(
                         codes.UPSTREAM_UNREACHABLE, f"HTTP {response.status}"
                     )
-                document = json.loads(await response.read())
+                document = json.loads(
+                    await bounded_http.read_body(response, _MAX_CALL_BYTES)
+                )
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return failures.failure(
                 codes.UPSTREAM_UNREACHABLE, failures.describe(error)
@@ -196,7 +205,7 @@
             ) as response:
                 if response.status == _OK:
                     return result.Success(None)
-                detail = (await response.read()).decode(errors="replace")
+                detail = await _read_detail(response)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return failures.failure(
                 codes.UPSTREAM_UNREACHABLE, failures.describe(error)
@@ -299,7 +308,8 @@
     """Returns the fault for an answer whose status is not 200."""
     status = response.status
     try:
-        detail = (await response.read()).decode(errors="replace")[:200]
+        async with asyncio.timeout(_REFUSAL_TIMEOUT_S):
+            detail = await _read_detail(response)
     except (TimeoutError, aiohttp.ClientError, OSError) as error:
         detail = failures.describe(error)
     if status == _CONFLICT:
@@ -309,6 +319,12 @@
     return failures.failure(codes.UPSTREAM_FAILED, f"HTTP {status}: {detail}")
 
 
+async def _read_detail(response: aiohttp.ClientResponse) -> str:
+    """Returns the start of a response's body as text."""
+    body = await bounded_http.read_body(response, _MAX_CALL_BYTES)
+    return body[:_MAX_DETAIL_BYTES].decode(errors="replace")
+
+
 def _string(value: Any) -> str:
     if not isinstance(value, str):
         raise ValueError(f"expected a string, got {value!r}")
--- a/tamarackpier/upstream/service.py
+++ b/tamarackpier/upstream/service.py
@@ -8,10 +8,13 @@
 
 from tamarackpier import codes, failures
 from tamarackpier.request import model
+from tamarackpier.upstream import bounded_http
 
 __all__ = ["HttpServiceClient", "ServiceAnswer", "ServiceClient"]
 
 _CONNECT_TIMEOUT_S = 1.0
+# Maximum size of an answer, which is read to its end before it is passed on.
+_MAX_ANSWER_BYTES = 4 << 20
 _DEFAULT_CONTENT_TYPE = "application/octet-stream"
 
 
@@ -83,7 +86,7 @@
                     total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
                 ),
             ) as response:
-                body = await response.read()
+                body = await bounded_http.read_body(response, _MAX_ANSWER_BYTES)
                 content_type = response.headers.get(
                     "Content-Type", _DEFAULT_CONTENT_TYPE
                 )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -12,20 +12,13 @@
 from tamarackpier.daemon import probing
 from tamarackpier.fleet import fleet_view
 from tamarackpier.fleet import model as fleet_model
-from tamarackpier.platform import encode, engines, wire
+from tamarackpier.platform import engines, wire
 from tamarackpier.routing import model as routing_model
 from tamarackpier.routing import table
 from tamarackpier.standin import rough_engine
 from tamarackpier.traffic import factory, model, relay, stream_attempts
 from tamarackpier.traffic import run as run_lib
-from tests import hosted_fixtures
-
-STREAM_HEAD = (
-    "HTTP/1.1 200 OK\r\n"
-    f"{wire.Header.REQUEST_ID}: {{id}}\r\n"
-    f"{wire.Header.PROOF}: proof\r\n"
-    "Content-Type: text/event-stream\r\n"
-)
+from tests import endless, hosted_fixtures
 
 
 class _Caller:
@@ -241,7 +234,9 @@
 
 def test_an_answer_without_length_is_incomplete_after_a_reset():
     async def cut(arrival):
-        head = STREAM_HEAD.format(id="req-1") + "Connection: close\r\n\r\n"
+        head = (
+            endless.STREAM_HEAD.format(id="req-1") + "Connection: close\r\n\r\n"
+        )
         await arrival.write(head.encode() + b"half")
         await asyncio.sleep(0.05)
         arrival.reset()
@@ -261,7 +256,9 @@
 
 def test_an_answer_without_length_is_complete_after_a_normal_close():
     async def end(arrival):
-        head = STREAM_HEAD.format(id="req-1") + "Connection: close\r\n\r\n"
+        head = (
+            endless.STREAM_HEAD.format(id="req-1") + "Connection: close\r\n\r\n"
+        )
         await arrival.write(head.encode() + b"all")
 
     async def check():
@@ -352,7 +349,7 @@
     """
 
     async def script(arrival):
-        head = STREAM_HEAD.format(id="req-1")
+        head = endless.STREAM_HEAD.format(id="req-1")
         head += "Transfer-Encoding: chunked\r\n\r\n"
         await arrival.write(head.encode() + _chunk(_events(1, 3)))
         if partial_event:
@@ -368,7 +365,7 @@
 
     async def second(arrival):
         begin = int(arrival.header(wire.Header.LAST_EVENT_ID) or 0) + 1
-        head = STREAM_HEAD.format(id="req-1")
+        head = endless.STREAM_HEAD.format(id="req-1")
         head += "Transfer-Encoding: chunked\r\n\r\n"
         data = head.encode() + _chunk(_events(begin, 6)) + b"0\r\n\r\n"
         await arrival.write(data)
@@ -407,7 +404,7 @@
     async def work(arrival):
         if arrival.header(wire.Header.REQUEST_ID) == "other":
             await asyncio.sleep(first_event_s)
-            head = STREAM_HEAD.format(id="other")
+            head = endless.STREAM_HEAD.format(id="other")
             head += "Transfer-Encoding: chunked\r\n\r\n"
             await arrival.write(head.encode() + _chunk(_events(1, 1)))
         await asyncio.sleep(30)
@@ -496,14 +493,14 @@
     async def stall(arrival):
         if wire.Path.REPORT in arrival.head:
             await asyncio.sleep(5)
-        head = STREAM_HEAD.format(id="req-1")
+        head = endless.STREAM_HEAD.format(id="req-1")
         head += "Transfer-Encoding: chunked\r\n\r\n"
         await arrival.write(head.encode() + _chunk(_events(1, 2)))
         await asyncio.sleep(5)
 
     async def good(arrival):
         begin = int(arrival.header(wire.Header.LAST_EVENT_ID) or 0) + 1
-        head = STREAM_HEAD.format(id="req-1")
+        head = endless.STREAM_HEAD.format(id="req-1")
         head += "Transfer-Encoding: chunked\r\n\r\n"
         await arrival.write(
             head.encode() + _chunk(_events(begin, 4)) + b"0\r\n\r\n"
@@ -637,7 +634,7 @@
     first = _three_events_then_reset()
 
     async def second(arrival):
-        head = STREAM_HEAD.format(id="req-1")
+        head = endless.STREAM_HEAD.format(id="req-1")
         head += "Transfer-Encoding: chunked\r\n\r\n"
         data = _chunk(_events(4, 6)) + b"0\r\n\r\n"
         await arrival.write(head.encode() + data)
@@ -704,7 +701,7 @@
 
 def test_a_stream_of_a_plain_service_is_passed_on():
     async def send_stream(arrival):
-        head = STREAM_HEAD.format(id="req-1")
+        head = endless.STREAM_HEAD.format(id="req-1")
         head += "Transfer-Encoding: chunked\r\n\r\n"
         data = _chunk(_events(1, 3)) + b"0\r\n\r\n"
         await arrival.write(head.encode() + data)
@@ -731,61 +728,6 @@
     _run(check)
 
 
-FRAMED = "Transfer-Encoding: chunked\r\n\r\n"
-UNFRAMED = "Connection: close\r\n\r\n"
-FILLER = b"x" * 65_536
-# Starts of answers, and what follows them without end.
-ENDLESS_ANSWERS = {
-    "status line": (b"", FILLER),
-    "header line": (b"HTTP/1.1 200 OK\r\nx-a: ", FILLER),
-    "headers": (b"HTTP/1.1 200 OK\r\n", b"x-a: 1\r\n" * 1000),
-    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
-    "chunks": (
-        STREAM_HEAD.format(id="req-1").encode() + FRAMED.encode(),
-        _chunk(FILLER),
-    ),
-    "body without length": (
-        STREAM_HEAD.format(id="req-1").encode() + UNFRAMED.encode(),
-        FILLER,
-    ),
-    "blank lines": (
-        STREAM_HEAD.format(id="req-1").encode() + UNFRAMED.encode(),
-        b"\n\n" * 10_000,
-    ),
-    "comments": (
-        STREAM_HEAD.format(id="req-1").encode() + UNFRAMED.encode(),
-        b": keep-alive\n\n" * 1000,
-    ),
-    "one event again": (
-        STREAM_HEAD.format(id="req-1").encode() + UNFRAMED.encode(),
-        b"id: 1\ndata: e1\n\n" * 1000,
-    ),
-    "chunk size": (
-        STREAM_HEAD.format(id="req-1").encode() + FRAMED.encode(),
-        b"0" * 65_536,
-    ),
-    "chunk extension": (
-        STREAM_HEAD.format(id="req-1").encode() + FRAMED.encode() + b"5;",
-        FILLER,
-    ),
-    "trailers": (
-        STREAM_HEAD.format(id="req-1").encode() + FRAMED.encode() + b"0\r\n",
-        b"x-a: 1\r\n" * 1000,
-    ),
-    "error answer": (
-        STREAM_HEAD.format(id="req-1").replace("200 OK", "500 Oops").encode()
-        + UNFRAMED.encode(),
-        FILLER,
-    ),
-    "declared length": (
-        STREAM_HEAD.format(id="req-1").encode()
-        + b"Content-Length: 99999999999\r\n\r\n",
-        FILLER,
-    ),
-}
-# An engine may send this much before its connection is closed: the limit of an
-# answer, and what the sockets buffer.
-MAX_ENDLESS_BYTES = 16 << 20
 # Callers abandon a stream after 2 s of silence. The timeouts of the routes are
 # longer, so that they don't end an attempt first.
 MAX_ENDLESS_S = 2.0
@@ -794,40 +736,12 @@
 )
 
 
-def _send_without_end(first, following, sent, pause_s=0.0):
-    """Returns a script that sends bytes until the connection is closed.
-
-    Args:
-        first: Start of the answer.
-        following: What is sent again and again.
-        sent: List to which the size of what each connection took is added.
-        pause_s: Time between two writes, in seconds.
-    """
-
-    async def script(arrival):
-        if wire.Path.REPORT in arrival.head:
-            engine_id = arrival.header(wire.Header.EXPECT_ENGINE)
-            name, _, rank = engine_id.partition("-")
-            record = hosted_fixtures.replica_records(name)[int(rank)]
-            body = encode.report(record, 0)
-            await arrival.write(rough_engine.encode_answer(arrival, body))
-            return
-        size = len(first)
-        try:
-            await arrival.write(first)
-            while not arrival.reader.at_eof():
-                await arrival.write(following)
-                size += len(following)
-                await asyncio.sleep(pause_s)
-        finally:
-            sent.append(size)
-
-    return script
-
-
 async def _good_stream(arrival):
     begin = int(arrival.header(wire.Header.LAST_EVENT_ID) or 0) + 1
-    data = STREAM_HEAD.format(id="req-1").encode() + FRAMED.encode()
+    data = (
+        endless.STREAM_HEAD.format(id="req-1").encode()
+        + endless.FRAMED.encode()
+    )
     if begin <= 3:
         data += _chunk(_events(begin, 3))
     await arrival.write(data + b"0\r\n\r\n")
@@ -883,15 +797,15 @@
         request_relay.engine_scores.record_failure("o2", now)
 
 
-def test_endless_answers_cost_neither_memory_nor_time():
+def test_endless_cost_neither_memory_nor_time():
     async def check():
-        for name, (first, following) in ENDLESS_ANSWERS.items():
+        for name, (first, following) in endless.ANSWERS.items():
             for path, good, body in (
                 ("/draft/1", _good_stream, _events(1, 3)),
                 ("/status/1", _answer_ok, b"done"),
             ):
                 sent = []
-                script = _send_without_end(first, following, sent)
+                script = endless.send_without_end(first, following, sent)
                 outcome, caller, took_s = await _handle_beside_endless_answer(
                     path, script, good, _prefer_bad
                 )
@@ -901,23 +815,23 @@
                 if name not in ("blank lines", "comments", "one event again"):
                     assert caller.data == body, case
                 assert took_s < MAX_ENDLESS_S, f"{case}: {took_s:.2f} s"
-                assert sent[0] < MAX_ENDLESS_BYTES, f"{case}: {sent[0]} bytes"
+                assert sent[0] < endless.MAX_BYTES, f"{case}: {sent[0]} bytes"
 
     _run(check)
 
 
 def test_an_order_with_an_endless_answer_ends_at_once_and_is_not_sent_again():
     async def check():
-        for name, (first, following) in ENDLESS_ANSWERS.items():
+        for name, (first, following) in endless.ANSWERS.items():
             sent = []
-            script = _send_without_end(first, following, sent)
+            script = endless.send_without_end(first, following, sent)
             outcome, caller, took_s = await _handle_beside_endless_answer(
                 "/order/1", script, _answer_ok, _prefer_bad
             )
             assert _fault_code(outcome) is codes.OUTCOME_UNKNOWN, name
             assert not caller.is_started, name
             assert took_s < MAX_ENDLESS_S, f"{name}: {took_s:.2f} s"
-            assert sent[0] < MAX_ENDLESS_BYTES, f"{name}: {sent[0]} bytes"
+            assert sent[0] < endless.MAX_BYTES, f"{name}: {sent[0]} bytes"
 
     _run(check)
 
@@ -929,14 +843,14 @@
         async def answer(arrival):
             first = rough_engine.encode_answer(arrival, b"done")
             other = rough_engine.encode_answer(arrival, b"other")
-            await _send_without_end(first, other * 1000, sent)(arrival)
+            await endless.send_without_end(first, other * 1000, sent)(arrival)
 
         outcome, caller, _ = await _handle_beside_endless_answer(
             "/order/1", answer, _answer_ok, _prefer_bad
         )
         assert pipeline.is_successful(outcome)
         assert (caller.data, caller.is_complete) == (b"done", True)
-        assert sent[0] < MAX_ENDLESS_BYTES
+        assert sent[0] < endless.MAX_BYTES
 
     _run(check)
 
@@ -944,8 +858,8 @@
 def test_a_stream_leaves_a_replica_that_sends_slowly_what_is_no_event():
     async def check():
         for name in ("status line", "body without length", "comments"):
-            first, following = ENDLESS_ANSWERS[name]
-            script = _send_without_end(first, following[:14], [], 0.02)
+            first, following = endless.ANSWERS[name]
+            script = endless.send_without_end(first, following[:14], [], 0.02)
             outcome, caller, took_s = await _handle_beside_endless_answer(
                 "/draft/1", script, _good_stream, _prefer_bad
             )
@@ -958,14 +872,14 @@
 
 def test_probes_and_orders_bound_the_answers_that_they_read():
     async def check():
-        for first, following in ENDLESS_ANSWERS.values():
+        for first, following in endless.ANSWERS.values():
             sent = []
 
             async def send(
                 arrival, first=first, following=following, sent=sent
             ):
                 arrival.head = arrival.head.replace(wire.Path.REPORT, "")
-                await _send_without_end(first, following, sent)(arrival)
+                await endless.send_without_end(first, following, sent)(arrival)
 
             async with rough_engine.serve_script(send) as (address, _):
                 engine = _plain("o1", address)
@@ -987,6 +901,6 @@
                 fleet_model.OrderOutcome.UNKNOWN,
                 fleet_model.OrderOutcome.REFUSED,
             )
-            assert max(sent) < MAX_ENDLESS_BYTES
+            assert max(sent) < endless.MAX_BYTES
 
     _run(check)
