Quarantine service calls that crash upstreams, on the own face

What callers saw: nothing; each send of a call that crashes its upstream cost one, and a repeatable call is sent up to five times for each request.

Cause: the quarantine of request/ covered model calls only; calls of plain services never asked it. Same class as on the hosted path.

Completions clear and protect it as elsewhere.

--- a/tamarackpier/daemon/node.py
+++ b/tamarackpier/daemon/node.py
@@ -261,6 +261,7 @@
             self.rng,
             self.clock,
             self.wall_clock,
+            self.quarantine,
         )
 
     def start(self) -> None:
--- a/tamarackpier/request/service_relay.py
+++ b/tamarackpier/request/service_relay.py
@@ -8,7 +8,14 @@
 
 from returns import pipeline, result
 
-from tamarackpier import codes, invariants, logs, metrics, settings
+from tamarackpier import (
+    codes,
+    invariants,
+    logs,
+    metrics,
+    quarantine,
+    settings,
+)
 from tamarackpier.platform import interfaces
 from tamarackpier.request import model, records, retry
 from tamarackpier.upstream import service
@@ -17,6 +24,8 @@
 
 _MAX_RETRIES = 4
 _MAX_UNSETTLED_OUTCOMES = 10_000
+# Long, since only a changed call or upstream helps.
+_SUSPECT_RETRY_AFTER_S = 60.0
 
 Answer = result.Result[service.ServiceAnswer, codes.Fault]
 
@@ -49,6 +58,7 @@
         unsettled: Outcomes that are not yet written to the table, by record
             key; None for a record that must be deleted.
         claims: Claims of this instance by record key.
+        quarantine: Requests that are suspected of crashing upstreams.
         in_flight: Number of calls being handled by this instance.
     """
 
@@ -67,6 +77,7 @@
         rng: random.Random,
         clock: Callable[[], float],
         wall_clock: Callable[[], float],
+        crash_quarantine: quarantine.Quarantine,
     ) -> None:
         self.services = services
         self.table = table
@@ -81,6 +92,7 @@
         self.rng = rng
         self.clock = clock
         self.wall_clock = wall_clock
+        self.quarantine = crash_quarantine
         self.unsettled: dict[str, records.Record | None] = {}
         self.claims: dict[str, _Claim] = {}
         self.in_flight = 0
@@ -141,6 +153,8 @@
             if pipeline.is_successful(answer):
                 return answer
             fault = answer.failure()
+            if fault.code is codes.CRASH_SUSPECT:
+                return answer
             if attempt > _MAX_RETRIES or not self.budget.spend():
                 return answer
             delay_s = self.backoff.delay_s(attempt, self.rng)
@@ -324,8 +338,19 @@
         """Tries upstreams in random order until one may have got the call.
 
         Upstreams with an open circuit breaker are tried last. Only a failure
-        to connect moves on to the next upstream.
+        to connect moves on to the next upstream. A call that is suspected of
+        crashing upstreams is not sent.
         """
+        fingerprint = _fingerprint(call)
+        if self._is_suspect(fingerprint):
+            return result.Failure(
+                codes.fault(
+                    codes.CRASH_SUSPECT,
+                    f"fingerprint {fingerprint} was running when several"
+                    " upstreams ended",
+                    retry_after_s=_SUSPECT_RETRY_AFTER_S,
+                )
+            )
         service_settings = self.services[call.service]
         upstreams = list(service_settings.upstreams)
         self.rng.shuffle(upstreams)
@@ -349,12 +374,42 @@
             answer = await self.client.call(upstream, call, timeout_s)
             if pipeline.is_successful(answer):
                 self.breakers.record_success(upstream)
+                self.quarantine.complete(fingerprint, self.clock())
                 return answer
             self.breakers.record_failure(upstream, self.clock(), self.rng)
             if answer.failure().code is not codes.UPSTREAM_UNREACHABLE:
+                await self._check_crash(call, fingerprint, upstream)
                 break
         return answer
 
+    def _is_suspect(self, fingerprint: str) -> bool:
+        verdict = self.quarantine.verdict(fingerprint, self.clock())
+        return verdict in (
+            quarantine.Verdict.WAIT,
+            quarantine.Verdict.REFUSE,
+        )
+
+    async def _check_crash(
+        self, call: model.ServiceCall, fingerprint: str, upstream: str
+    ) -> None:
+        """Makes a call a suspect if its upstream ended while it ran."""
+        if not await self.client.has_ended(upstream):
+            return
+        now = self.clock()
+        # Instances give one death the same identifier, by the second of it. An
+        # upstream takes longer to start again.
+        death = f"{upstream}@{int(self.wall_clock())}"
+        self.quarantine.add([quarantine.Crash(fingerprint, death, now)])
+        self.metrics.count("crash_suspect")
+        logs.event(
+            "crash suspect",
+            request=call.request_id,
+            account=call.account,
+            fingerprint=fingerprint,
+            death=death,
+            verdict=self.quarantine.verdict(fingerprint, now).value,
+        )
+
     def _outcome(self, claim: _Claim, answer: Answer) -> records.Record | None:
         """Returns the record of an outcome; None if the call did not run."""
         if pipeline.is_successful(answer):
@@ -429,6 +484,18 @@
         )
 
 
+def _fingerprint(call: model.ServiceCall) -> str:
+    content = b"\0".join(
+        (
+            call.service.encode(),
+            call.method.encode(),
+            call.path.encode(),
+            call.body,
+        )
+    )
+    return quarantine.fingerprint(call.account, content)
+
+
 def _unknown_outcome(claim: _Claim, relay: ServiceRelay) -> records.Record:
     return dataclasses.replace(
         claim.record,
--- a/tamarackpier/standin/links.py
+++ b/tamarackpier/standin/links.py
@@ -361,6 +361,10 @@
 
     link: Link
 
+    async def has_ended(self, address: str) -> bool:
+        """Returns whether nothing listens at the address of a service."""
+        return self.link.world.service_mode == "down"
+
     async def call(
         self, address: str, call: request_model.ServiceCall, timeout_s: float
     ) -> result.Result[service_client.ServiceAnswer, codes.Fault]:
--- a/tamarackpier/upstream/service.py
+++ b/tamarackpier/upstream/service.py
@@ -1,9 +1,11 @@
 """Client for plain services over HTTP."""
 
+import asyncio
 import dataclasses
 from typing import Protocol
 
 import aiohttp
+import yarl
 from returns import result
 
 from tamarackpier import codes, failures
@@ -13,6 +15,7 @@
 __all__ = ["HttpServiceClient", "ServiceAnswer", "ServiceClient"]
 
 _CONNECT_TIMEOUT_S = 1.0
+_PROBE_TIMEOUT_S = 0.25
 # Maximum size of an answer, which is read to its end before it is passed on.
 _MAX_ANSWER_BYTES = 4 << 20
 _DEFAULT_CONTENT_TYPE = "application/octet-stream"
@@ -52,6 +55,9 @@
             `OUTCOME_UNKNOWN` if the call may have run.
         """
 
+    async def has_ended(self, address: str) -> bool:
+        """Returns whether nothing listens at the address of a service."""
+
 
 class HttpServiceClient(ServiceClient):
     """Client for plain services over HTTP.
@@ -105,3 +111,16 @@
             return failures.failure(
                 codes.OUTCOME_UNKNOWN, failures.describe(error)
             )
+
+    async def has_ended(self, address: str) -> bool:
+        """Returns whether nothing listens at the address of a service."""
+        url = yarl.URL(address)
+        try:
+            async with asyncio.timeout(_PROBE_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(url.host, url.port)
+        except ConnectionRefusedError:
+            return True
+        except (TimeoutError, OSError):
+            return False
+        writer.close()
+        return False
