Keep the exchange of suspects small, and release only what may run

Each message looked at every suspect, and each new suspect of a death started an exchange with all peers; messages now carry what is new or repeated, from small indexes, and only a repeated suspect starts an exchange. Suspects that were cleared are dropped after their clearance has spread. A stored fingerprint whose verdict was still open was deleted from the store right after a restart; it is deleted only when it may run. An engine that returns under a new ID at its address counts as ended.

Tests: cleared suspects are forgotten by all instances; engines that return under new IDs.

--- a/tamarackpier/codes.py
+++ b/tamarackpier/codes.py
@@ -491,6 +491,13 @@
     _LATER,
     "The upstream's port is closed: its process has ended.",
 )
+UPSTREAM_REPLACED = _define(
+    4011,
+    "upstream_replaced",
+    503,
+    _LATER,
+    "Another process serves at the upstream's address.",
+)
 ORDER_REFUSED = _define(
     4009,
     "order_refused",
--- a/tamarackpier/daemon/crash_checks.py
+++ b/tamarackpier/daemon/crash_checks.py
@@ -59,8 +59,8 @@
         self.wall_clock = wall_clock
         self.stored: set[str] = set()
         self._tasks = tasks.Tasks()
-        self._probed_engines: set[str] = set()  # While a probe runs.
-        self._written: set[str] = set()  # While a write runs.
+        self._probing: set[str] = set()  # While a probe runs.
+        self._writing: set[str] = set()  # While a write runs.
         self._next_write_at = 0.0
         prober.on_probed = self._apply_replica_probe
 
@@ -126,14 +126,14 @@
 
     async def _probe_engine(self, upstream: crash_watch.Upstream) -> None:
         engine = upstream.engines[0]
-        if engine.id in self._probed_engines:
+        if engine.id in self._probing:
             return
-        self._probed_engines.add(engine.id)
+        self._probing.add(engine.id)
         started_at = self.clock()
         try:
             report_result = await self.prober.probe_engine(engine)
         finally:
-            self._probed_engines.discard(engine.id)
+            self._probing.discard(engine.id)
         has_ended = probing.has_ended(engine, report_result)
         self.watch.apply_probe(
             upstream.death,
@@ -146,14 +146,16 @@
     def _store_refused(self, now: float) -> None:
         """Starts the writes that keep the store equal to what is refused."""
         refused = set(self.quarantine.refused_fingerprints(now))
-        for fingerprint in (refused - self.stored) - self._written:
+        for fingerprint in (refused - self.stored) - self._writing:
             if len(self.stored) < _MAX_ROWS:
                 self._start_write(fingerprint, is_refused=True)
-        for fingerprint in (self.stored - refused) - self._written:
-            self._start_write(fingerprint, is_refused=False)
+        for fingerprint in (self.stored - refused) - self._writing:
+            verdict = self.quarantine.verdict(fingerprint, now)
+            if verdict is quarantine_lib.Verdict.RUN:
+                self._start_write(fingerprint, is_refused=False)
 
     def _start_write(self, fingerprint: str, is_refused: bool) -> None:
-        self._written.add(fingerprint)
+        self._writing.add(fingerprint)
         self._tasks.start(self._write(fingerprint, is_refused))
 
     async def _write(self, fingerprint: str, is_refused: bool) -> None:
@@ -172,7 +174,7 @@
                 interfaces.Transaction((), (write,))
             )
         finally:
-            self._written.discard(fingerprint)
+            self._writing.discard(fingerprint)
         if not pipeline.is_successful(write_result):
             self._next_write_at = self.clock() + _WRITE_RETRY_S
             self.metrics.count(
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -95,8 +95,7 @@
             self.clock,
             wall_clock,
         )
-        # A death that others don't know yet must reach them at once.
-        self.relay.crash_watch.on_crash = lambda: self.peers.start_exchanges(
+        self.relay.crash_watch.on_repeated = lambda: self.peers.start_exchanges(
             is_urgent=True
         )
         self._build_followers()
--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -17,6 +17,8 @@
 
 __all__ = ["Prober", "ProbeResult", "evaluate"]
 
+# Faults that show that an engine's process has ended.
+_ENDED_CODES = (codes.CONNECTION_REFUSED, codes.UPSTREAM_REPLACED)
 _TRY_COUNT = 3
 # Delay between two tries. An answer takes 5 ms; a lost packet delays it by 1 s.
 _STAGGER_S = 0.03
@@ -112,7 +114,7 @@
         report_result: Its report, or the fault instead.
     """
     if not pipeline.is_successful(report_result):
-        return report_result.failure().code is codes.CONNECTION_REFUSED
+        return report_result.failure().code in _ENDED_CODES
     return report_result.unwrap().incarnation > engine.incarnation
 
 
--- a/tamarackpier/platform/engines.py
+++ b/tamarackpier/platform/engines.py
@@ -16,12 +16,14 @@
 
 __all__ = ["HttpGateway", "create_session"]
 
+_OK = 200
+_OTHER_ENGINE = 421
 _OUTCOME_BY_STATUS = {
-    200: model.OrderOutcome.ACCEPTED,
+    _OK: model.OrderOutcome.ACCEPTED,
     202: model.OrderOutcome.ACCEPTED,
     409: model.OrderOutcome.NOT_NOW,
     412: model.OrderOutcome.SUPERSEDED,
-    421: model.OrderOutcome.OTHER_ENGINE,
+    _OTHER_ENGINE: model.OrderOutcome.OTHER_ENGINE,
 }
 _OPERATIONS = {
     model.OrderKind.JOIN: "join",
@@ -220,7 +222,12 @@
                 else codes.UPSTREAM_UNREACHABLE,
                 failures.describe(error),
             )
-        if status != 200 or reporting_engine != engine.id:
+        if status == _OTHER_ENGINE or reporting_engine != engine.id:
+            return failures.failure(
+                codes.UPSTREAM_REPLACED,
+                f"HTTP {status} from engine {reporting_engine}",
+            )
+        if status != _OK:
             return failures.failure(
                 codes.BAD_UPSTREAM_DATA,
                 f"HTTP {status} from engine {reporting_engine}",
--- a/tamarackpier/quarantine.py
+++ b/tamarackpier/quarantine.py
@@ -101,6 +101,10 @@
             fingerprint: its last completion or release by an operator.
         completed: Monotonic time in seconds of recent completions, by
             fingerprint, oldest first.
+        repeated: Fingerprints of the suspects of several deaths.
+        new_crashes: Monotonic time in seconds of the last new death of each
+            suspect, while messages have to carry it, by fingerprint.
+        new_clearances: The same for clearances.
     """
 
     def __init__(self, crash_threshold: int, keep_s: float) -> None:
@@ -112,6 +116,9 @@
         self.completed: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
+        self.repeated: set[str] = set()
+        self.new_crashes: dict[str, float] = {}
+        self.new_clearances: dict[str, float] = {}
 
     def add(self, crashes: Iterable[Crash]) -> None:
         """Merges crashes observed by this instance or received from a peer."""
@@ -121,7 +128,12 @@
                 continue
             # The first known time is kept. Peers send the age of a crash, so
             # each exchange would otherwise shift the time.
-            deaths.setdefault(crash.death, crash.at)
+            if crash.death in deaths:
+                continue
+            deaths[crash.death] = crash.at
+            self.new_crashes[crash.fingerprint] = crash.at
+            if len(deaths) >= min(_REPEATED, self.crash_threshold):
+                self.repeated.add(crash.fingerprint)
             self.suspects.setdefault(crash.death, set()).add(crash.fingerprint)
             if self.is_protected(crash.fingerprint, crash.at):
                 self.clear(crash.fingerprint, crash.at + _TIME_TOLERANCE_S)
@@ -140,9 +152,9 @@
         """
         if request_fingerprint not in self.crashes:
             return False
-        self.cleared[request_fingerprint] = max(
-            at, self.cleared.get(request_fingerprint, at)
-        )
+        if at > self.cleared.get(request_fingerprint, float("-inf")):
+            self.cleared[request_fingerprint] = at
+            self.new_clearances[request_fingerprint] = at
         return True
 
     def complete(self, request_fingerprint: str, at: float) -> None:
@@ -201,9 +213,8 @@
         """Returns the fingerprints of requests that are refused now."""
         return sorted(
             request_fingerprint
-            for request_fingerprint, deaths in self.crashes.items()
-            if len(deaths) >= self.crash_threshold
-            and self.verdict(request_fingerprint, now) is Verdict.REFUSE
+            for request_fingerprint in self.repeated
+            if self.verdict(request_fingerprint, now) is Verdict.REFUSE
         )
 
     def counted_deaths(self, request_fingerprint: str, now: float) -> set[str]:
@@ -218,8 +229,8 @@
     def crashes_to_send(self, now: float) -> list[Crash]:
         """Returns the crashes that a message to a peer carries.
 
-        They are the new ones and those of repeated suspects, up to a limit;
-        suspects of the most deaths come first.
+        They are the new ones and those of repeated suspects that were not
+        cleared, up to a limit; suspects of the most deaths come first.
         """
         return [
             Crash(request_fingerprint, death, at)
@@ -241,10 +252,10 @@
                 _MAX_SENT,
                 (
                     request_fingerprint
-                    for request_fingerprint, at in self.cleared.items()
+                    for request_fingerprint, at in self.new_clearances.items()
                     if now - at < _SEND_S
                 ),
-                key=lambda name: self.cleared[name],
+                key=lambda name: self.new_clearances[name],
             ),
         ]
         return {
@@ -261,8 +272,16 @@
             ]
             for death in expired:
                 self._drop_death(request_fingerprint, death)
-            if not deaths:
+            cleared_at = self.cleared.get(request_fingerprint, now)
+            is_clear = cleared_at < now - _SEND_S and not self.counted_deaths(
+                request_fingerprint, now
+            )
+            if not deaths or is_clear:
                 self._drop_suspect(request_fingerprint)
+        for times in (self.new_crashes, self.new_clearances):
+            for request_fingerprint, at in list(times.items()):
+                if at <= now - _SEND_S:
+                    del times[request_fingerprint]
         while self.completed:
             oldest = next(iter(self.completed))
             if self.completed[oldest] > now - _COMPLETION_PROTECTS_S:
@@ -272,11 +291,14 @@
     def _fingerprints_to_send(self, now: float) -> list[str]:
         return heapq.nlargest(
             _MAX_SENT,
-            (
+            {
+                request_fingerprint
+                for request_fingerprint in self.repeated
+                if self.counted_deaths(request_fingerprint, now)
+            }.union(
                 request_fingerprint
-                for request_fingerprint, deaths in self.crashes.items()
-                if len(deaths) >= _REPEATED
-                or any(now - at < _SEND_S for at in deaths.values())
+                for request_fingerprint, at in self.new_crashes.items()
+                if now - at < _SEND_S
             ),
             key=self._suspicion,
         )
@@ -298,7 +320,9 @@
         for death in list(self.crashes[request_fingerprint]):
             self._drop_death(request_fingerprint, death)
         del self.crashes[request_fingerprint]
-        self.cleared.pop(request_fingerprint, None)
+        self.repeated.discard(request_fingerprint)
+        for times in (self.cleared, self.new_crashes, self.new_clearances):
+            times.pop(request_fingerprint, None)
 
     def _drop_death(self, request_fingerprint: str, death: str) -> None:
         del self.crashes[request_fingerprint][death]
--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -331,6 +331,8 @@
         ran: IDs of the engines that started to run each request, by request
             ID.
         plain_answer_s: Least time of an answer of a plain service, in seconds.
+        renames_engines: Whether an engine that a request crashed has another
+            ID after its restart, at the same address.
         crashing_bodies: Number of events after which an engine crashes that
             runs a request with this body, by body; 0 for before its answer.
         crashes: Time, in seconds on the monotonic clock, and request ID of
@@ -352,6 +354,7 @@
         self.fabric = fabric_lib.Fabric(spec)
         self.ran: dict[str, list[str]] = collections.defaultdict(list)
         self.plain_answer_s = 0.0
+        self.renames_engines = False
         self.crashing_bodies: dict[bytes, int] = {}
         self.crashes: list[tuple[float, str]] = []
         self.breaches: list[str] = []
@@ -395,8 +398,22 @@
 
     async def _restart(self, name: str) -> None:
         await asyncio.sleep(_RESTART_DELAY_S)
-        self.fabric.restart(name)
-        await self.engine_listeners[name].listen()
+        if not self.renames_engines:
+            self.fabric.restart(name)
+            await self.engine_listeners[name].listen()
+            return
+        ended = self.fabric.engines[name].record
+        new_name = f"{name}+"
+        self.fabric.add(
+            new_name, ended.service, ended.availability_zone, ended.domain
+        )
+        engine = self.fabric.engines[new_name]
+        engine.record = dataclasses.replace(
+            engine.record, address=ended.address, staged=ended.staged
+        )
+        self.engine_listeners[new_name] = await self._listen(
+            _EngineApp(self, new_name), ended.address
+        )
 
     def check_members_ready(self, lead: fabric_lib.FabricEngine) -> None:
         """Records a breach if a lead serves though a member was never ready."""
--- a/tamarackpier/traffic/crash_watch.py
+++ b/tamarackpier/traffic/crash_watch.py
@@ -96,7 +96,7 @@
     Attributes:
         quarantine: Receives a crash for each suspect.
         metrics: Counters of this instance.
-        on_crash: Called when crashes were added to the quarantine.
+        on_repeated: Called when a request is a suspect of another death.
         undecided: Attempts whose upstream may have ended, by its death.
         deaths: Time at which each recent death was found, by death.
     """
@@ -106,7 +106,7 @@
     ) -> None:
         self.quarantine = quarantine
         self.metrics = counts
-        self.on_crash: Callable[[], object] = lambda: None
+        self.on_repeated: Callable[[], object] = lambda: None
         self.undecided: dict[str, _Undecided] = {}
         self.deaths: dict[str, float] = {}
 
@@ -224,6 +224,7 @@
     def _add_crashes(
         self, upstream: Upstream, attempts: list[EndedAttempt], now: float
     ) -> None:
+        is_repeated = False
         for attempt in attempts:
             if self.quarantine.is_protected(attempt.fingerprint, now):
                 continue
@@ -231,6 +232,7 @@
                 [quarantine_lib.Crash(attempt.fingerprint, upstream.death, now)]
             )
             self.metrics.count("crash_suspect")
+            is_repeated |= attempt.fingerprint in self.quarantine.repeated
             logs.failure(
                 "crash suspect",
                 request=attempt.request_id,
@@ -243,7 +245,8 @@
                 ),
                 verdict=self.quarantine.verdict(attempt.fingerprint, now).value,
             )
-        self.on_crash()
+        if is_repeated:
+            self.on_repeated()
 
 
 def _ended_by_rows(
--- a/tamarackpier/upstream/gateway.py
+++ b/tamarackpier/upstream/gateway.py
@@ -115,7 +115,8 @@
         Returns:
             The report. A fault if the engine did not answer in time, if another
             engine answered, or if the answer is invalid; `CONNECTION_REFUSED`
-            if nothing listens at its address.
+            if nothing listens at its address, `UPSTREAM_REPLACED` if another
+            engine does.
         """
 
     async def order(
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -104,6 +104,14 @@
     deployment_fixtures.run(check, count=3, order_engine_count=6)
 
 
+def test_a_crashing_request_is_found_when_engines_return_under_new_ids():
+    async def check(deployment):
+        deployment.platform.renames_engines = True
+        await _check_crashing_request(deployment, "/status/1", 0)
+
+    deployment_fixtures.run(check, count=3, order_engine_count=6)
+
+
 def test_a_crashing_order_stops_reaching_engines():
     async def check(deployment):
         await _check_crashing_request(deployment, "/order/1", 0)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -64,6 +64,25 @@
     assert second.verdict("common", 9.0) is quarantine.Verdict.RUN
 
 
+def test_cleared_suspects_are_forgotten_by_all_instances():
+    nodes = [_quarantine() for _ in range(4)]
+    nodes[0].add(
+        quarantine.Crash("f", death, 10.0) for death in ("d1", "d2", "d3")
+    )
+    now = 10.0
+    for step in range(100):
+        now += 0.25
+        if step == 8:
+            nodes[1].complete("f", now)
+        for source in nodes:
+            message = entry_pb2.EntryStatus()
+            crash_codec.add_crashes(source, message, now)
+            for target in nodes:
+                crash_codec.merge_crashes(target, message, now)
+            source.expire(now)
+    assert [node.crashes for node in nodes] == [{}] * 4
+
+
 def test_state_and_messages_stay_bounded_and_keep_the_worst_suspects():
     suspects = _quarantine(
         *(("bad", f"d{number}", 10.0 + number) for number in range(100))
