Soak: a request that crashes engines, before and during a rolling restart

Callers send it again and again to all instances while these are restarted one at a time; it must not run more than three times later than 3 s after its third crash.

--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -8,8 +8,10 @@
 the requests that engines run are checked against what the entry guarantees.
 
 Faults start one after another and may overlap. After all of them have ended,
-the instances are restarted one at a time. This rolling restart must not cut
-off a request that an engine runs, and most requests must be served during it.
+callers begin to send a request that crashes engines, again and again, and the
+instances are restarted one at a time. This rolling restart must not cut off a
+request that an engine runs, most requests must be served during it, and the
+crashing request must stay refused.
 """
 
 import asyncio
@@ -46,6 +48,13 @@
 STALL_EFFECT_S = 4.0
 # Share of the requests during the rolling restart that must be served.
 MIN_SERVED_SHARE = 0.8
+CRASHING_BODY = b'{"prompt": "crashes engines"}'
+CRASHING_PERIOD_S = 0.4  # Time between two sends of the crashing request.
+# Bounds that the platform states: the crash after which the request is known,
+# the time until all instances know it, and the attempts accepted after that.
+MAX_CRASHES = 3
+KNOWN_AFTER_S = 3.0
+MAX_LATE_ATTEMPTS = 3
 # Statuses with which the entry states that it did not run the request.
 REFUSAL_STATUSES = (408, 421, 429, 503)
 # Statuses for incorrect requests. All requests of the soak are correct.
@@ -62,6 +71,7 @@
             "draft 200".
         faults: Number of injected faults by name.
         restarts: Number of processes started again after their exit.
+        crashes: Number of engines crashed by the crashing request.
         stalls: Monotonic times, in seconds, at which this process stalled,
             and with it the platform stand-in and all engines.
     """
@@ -74,6 +84,7 @@
         default_factory=collections.Counter
     )
     restarts: int = 0
+    crashes: int = 0
     stalls: list[float] = dataclasses.field(default_factory=list)
 
 
@@ -172,11 +183,16 @@
                     asyncio.ensure_future(self._watch_versions())
                 )
                 await self._inject_faults(seconds)
+                background_tasks.append(
+                    asyncio.ensure_future(self._send_crashing_request())
+                )
+                await asyncio.sleep(KNOWN_AFTER_S + SETTLE_S)
                 await self._restart_one_at_a_time()
             finally:
                 self.is_over = True
                 await self.stop(background_tasks)
         self.check_executions()
+        self.check_crashes()
         return self.report
 
     async def add_engine(self, service, domain):
@@ -237,6 +253,39 @@
         self.platform.delayed_order_share = 0.0
         await asyncio.sleep(SETTLE_S)
 
+    async def _send_crashing_request(self):
+        """Sends a request that crashes engines to all instances in turn."""
+        self.platform.crashing_bodies[CRASHING_BODY] = 2
+        for number in itertools.count():
+            entry = self.entries[number % len(self.entries)]
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                async with self.client.post(
+                    f"http://{entry.caller_address}/draft/crashing",
+                    headers=process_fixtures.headers(
+                        f"{self.seed:x}-crashing{number}"
+                    ),
+                    data=CRASHING_BODY,
+                    timeout=aiohttp.ClientTimeout(
+                        total=process_fixtures.REQUEST_TIMEOUT_S
+                    ),
+                ) as response:
+                    await response.read()
+            await asyncio.sleep(CRASHING_PERIOD_S)
+
+    def check_crashes(self):
+        """Adds a violation if the crashing request ran too often."""
+        crash_times = [at for at, _ in self.platform.crashes]
+        self.report.crashes = len(crash_times)
+        if len(crash_times) < MAX_CRASHES:
+            return
+        known_at = crash_times[MAX_CRASHES - 1] + KNOWN_AFTER_S
+        late_count = sum(at > known_at for at in crash_times)
+        if late_count > MAX_LATE_ATTEMPTS:
+            self.add_violation(
+                f"the crashing request ran {late_count} times after its first"
+                f" {MAX_CRASHES} crashes were known"
+            )
+
     async def _restart_one_at_a_time(self):
         """Performs the rolling restart and checks what callers get in it.
 
@@ -576,6 +625,7 @@
         click.echo(
             f"seed {run_seed}: {len(report.violations)} violations, "
             f"{report.restarts} restarts, {len(report.stalls)} stalls, "
+            f"{report.crashes} crashes by the crashing request, "
             f"{dict(report.outcomes)}, {dict(report.faults)}"
         )
         for violation in report.violations:
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -51,7 +51,13 @@
     soak.platform.breaches.append("served without a member")
     soak.entries.clear()
     soak.check_executions()
-    assert sorted(soak.report.violations) == [
+    soak.platform.crashes += [(float(number), "c") for number in range(12)]
+    soak.check_crashes()
+    soak.report.violations.sort()
+    assert soak.report.violations.pop() == (
+        "the crashing request ran 6 times after its first 3 crashes were known"
+    )
+    assert soak.report.violations == [
         "order a ran at ['e1', 'e2']",
         "order b was refused and ran",
         "served without a member",
