Keep the quarantine over a restart of all instances, on the own face too

Cause as on the hosted path: the own face's quarantine lived in the entry processes and in their exchange, so a restart of all of them forgot it. The part of CrashChecker that keeps refused fingerprints in the store is a module of its own now, QuarantineStore, which both daemons run as a job.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -18,8 +18,10 @@
     crash_checks,
     entry_peers,
     hosted_apps,
+    loops,
     peer_status,
     probing,
+    quarantine_store,
     row_cache,
     row_source,
     serving,
@@ -38,6 +40,7 @@
 _TICK_S = 0.025
 _PEER_ROUND_PERIOD_S = 0.25
 _PLAN_PERIOD_S = 0.1
+_QUARANTINE_PERIOD_S = 0.25
 _PLANNER_READ_INTERVAL_S = 0.05
 # Reads of the store are charged. This is a fifth of the time in which an
 # instance must learn that an engine drains.
@@ -90,6 +93,10 @@
             self.relay.crash_watch,
             self.fleet,
             self.prober,
+            self.clock,
+        )
+        self.quarantine_store = quarantine_store.QuarantineStore(
+            self.relay.quarantine,
             self.rows,
             self.metrics,
             self.clock,
@@ -309,6 +316,14 @@
         await self.peer_server.start()
         for follower in self.followers:
             self._tasks.append(asyncio.ensure_future(follower.run()))
+        quarantine_job = loops.PeriodicJob(
+            "quarantine", _QUARANTINE_PERIOD_S, self.quarantine_store.update
+        )
+        self._tasks.append(
+            asyncio.ensure_future(
+                loops.run_forever(quarantine_job, self.metrics, self.rng)
+            )
+        )
         self._tasks.append(asyncio.ensure_future(self._register()))
         self._tasks.append(asyncio.ensure_future(self._run_ticks()))
         logs.event(
@@ -468,14 +483,13 @@
         self.relay.streams.keep_only(set(self.fleet.replicas()))
         self.relay.engine_scores.keep_only(set(self.fleet.engines))
         self.statuses.expire()
-        self.crash_checker.update_store()
         self.peers.start_exchanges()
         self.catch_up.tick(now)
 
     async def _register(self) -> None:
         """Registers this instance in the store and adds the others as contacts.
 
-        Also loads the quarantine. Tries until the store answers.
+        Tries until the store answers.
         """
         own_presence = self.roster.own_presence
         key = f"{_INSTANCES_TABLE}/{own_presence.id}"
@@ -484,11 +498,8 @@
         while True:
             write_result = await self.rows.transact(write)
             scan_result = await self.rows.scan(f"{_INSTANCES_TABLE}/")
-            is_loaded = await self.crash_checker.load()
-            if (
-                is_loaded
-                and pipeline.is_successful(write_result)
-                and pipeline.is_successful(scan_result)
+            if pipeline.is_successful(write_result) and pipeline.is_successful(
+                scan_result
             ):
                 break
             await asyncio.sleep(self.rng.uniform(0.2, 0.6))
--- a/tamarackpier/daemon/node.py
+++ b/tamarackpier/daemon/node.py
@@ -18,6 +18,7 @@
     gossip,
     loops,
     peers,
+    quarantine_store,
     sheets,
 )
 from tamarackpier.peer import addresses, membership
@@ -263,6 +264,13 @@
             self.wall_clock,
             self.quarantine,
         )
+        self.quarantine_store = quarantine_store.QuarantineStore(
+            self.quarantine,
+            table,
+            self.metrics,
+            self.clock,
+            self.wall_clock,
+        )
 
     def start(self) -> None:
         """Starts the periodic jobs."""
@@ -285,6 +293,11 @@
                 self._maintain_requests,
             ),
             loops.PeriodicJob("records", 1.0, self.services.write_unsettled),
+            loops.PeriodicJob(
+                "quarantine",
+                _REQUEST_MAINTENANCE_PERIOD_S,
+                self.quarantine_store.update,
+            ),
             loops.PeriodicJob("sweep", _SWEEP_PERIOD_S, self._sweep),
         )
         for job in jobs:
@@ -404,7 +417,6 @@
 
     async def _exchange(self) -> None:
         if await self.gossip.exchange():
-            self.quarantine.expire(self.clock())
             self._update_shares()
 
     def _announce_sheet(
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -156,7 +156,7 @@
         await _wait_until_refused(deployment, "/status/1")
         await deployment.until(
             lambda: all(
-                instance.crash_checker.stored
+                instance.quarantine_store.stored
                 for instance in deployment.instances
             )
         )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -1,5 +1,6 @@
 """Tests of suspects of upstream crashes, without network or engines."""
 
+import asyncio
 import dataclasses
 import random
 
@@ -7,8 +8,11 @@
 from hypothesis import strategies
 
 from tamarackpier import metrics, quarantine
+from tamarackpier.daemon import quarantine_store
 from tamarackpier.fleet import model
 from tamarackpier.peer import crash_codec
+from tamarackpier.platform import interfaces
+from tamarackpier.standin import memory
 from tamarackpier.traffic import crash_watch
 from tamarackpier.wire import entry_pb2
 from tests import hosted_fixtures
@@ -235,3 +239,86 @@
         30.0,
     )
     assert not watch.undecided
+
+
+def _store(table, suspects, now=100.0, unix_now=5000.0):
+    return quarantine_store.QuarantineStore(
+        suspects, table, metrics.Metrics(), lambda: now, lambda: unix_now
+    )
+
+
+def test_refused_requests_outlive_the_instances_that_saw_the_crashes():
+    async def check():
+        table = memory.MemoryTable()
+        suspects = _quarantine(
+            *(("bad", f"d{number}", 90.0) for number in range(3)),
+            ("other", "d1", 90.0),
+        )
+        await _store(table, suspects).update()
+        assert list(table.rows) == ["quarantine/bad"]
+        # Another process has another monotonic clock.
+        restarted = _quarantine()
+        await _store(table, restarted, 7.0, 5020.0).update()
+        assert restarted.verdict("bad", 8.0) is quarantine.Verdict.REFUSE
+        assert restarted.crashes["bad"]["d1"] == 7.0 - 30.0
+        restarted.clear("bad", 7.0)
+        await _store(table, restarted, 7.0, 5020.0).update()
+        rows = [row for row in table.rows.values() if row.value]
+        assert not rows
+
+    asyncio.run(check())
+
+
+def test_a_request_is_kept_while_its_verdict_is_open():
+    async def check():
+        table = memory.MemoryTable()
+        crashes = [("bad", f"d{number}", 90.0) for number in range(3)]
+        await _store(table, _quarantine(*crashes)).update()
+        restarted = _quarantine()
+        store = _store(table, restarted, 5.0, 4990.5)
+        await store.update()
+        assert restarted.verdict("bad", 5.0) is quarantine.Verdict.WAIT
+        assert table.rows["quarantine/bad"].value
+
+    asyncio.run(check())
+
+
+def test_a_store_that_fails_is_asked_again_later():
+    async def check():
+        table = memory.MemoryTable()
+        table.faults.kind = memory.TableFault.DOWN
+        suspects = _quarantine(
+            *(("bad", f"d{number}", 90.0) for number in range(3))
+        )
+        times = iter([100.0] * 6 + [101.0] * 6 + [103.0] * 20)
+        store = quarantine_store.QuarantineStore(
+            suspects,
+            table,
+            metrics.Metrics(),
+            lambda: next(times),
+            lambda: 5000.0,
+        )
+        await store.update()
+        assert not store.is_loaded
+        table.faults.kind = memory.TableFault.NONE
+        while not store.is_loaded:
+            await store.update()
+        await store.update()
+        assert store.stored == {"bad"}
+
+    asyncio.run(check())
+
+
+def test_unreadable_rows_of_the_quarantine_are_skipped():
+    async def check():
+        table = memory.MemoryTable()
+        for name, value in (("a", {}), ("b", {"deaths_at_unix_s": 3})):
+            write = interfaces.Write(f"quarantine/{name}", value)
+            await table.transact(interfaces.Transaction((), (write,)))
+        suspects = _quarantine()
+        store = _store(table, suspects)
+        await store.update()
+        assert store.is_loaded
+        assert not suspects.crashes
+
+    asyncio.run(check())
