--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -31,6 +31,7 @@
 _ORDER_DELAY_RANGE_S = (1.0, 6.0)
 # Time after which an engine that a request crashed starts again.
 _RESTART_DELAY_S = 1.0
+_SILENT_RESTART_DELAY_S = 5.0  # Longer than its row is kept.
 
 Scope = dict[str, Any]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
@@ -333,6 +334,8 @@
         plain_answer_s: Least time of an answer of a plain service, in seconds.
         renames_engines: Whether an engine that a request crashed has another
             ID after its restart, at the same address.
+        crashes_silently: Whether an engine that a request crashed answers
+            nothing, instead of closing its port and connections.
         crashing_bodies: Number of events after which an engine crashes that
             runs a request with this body, by body; 0 for before its answer.
         crashes: Time, in seconds on the monotonic clock, and request ID of
@@ -355,6 +358,7 @@
         self.ran: dict[str, list[str]] = collections.defaultdict(list)
         self.plain_answer_s = 0.0
         self.renames_engines = False
+        self.crashes_silently = False
         self.crashing_bodies: dict[bytes, int] = {}
         self.crashes: list[tuple[float, str]] = []
         self.breaches: list[str] = []
@@ -389,14 +393,19 @@
         """Ends an engine because of a request; it restarts a little later."""
         self.crashes.append((time.monotonic(), request_id))
         self.fabric.kill(name)
-        listener = self.engine_listeners[name]
-        listener.close()
-        _abort_connections(listener)
+        if not self.crashes_silently:
+            listener = self.engine_listeners[name]
+            listener.close()
+            _abort_connections(listener)
         restart = asyncio.ensure_future(self._restart(name))
         self._restarts.add(restart)
         restart.add_done_callback(self._restarts.discard)
 
     async def _restart(self, name: str) -> None:
+        if self.crashes_silently:
+            await asyncio.sleep(_SILENT_RESTART_DELAY_S)
+            self.fabric.restart(name)
+            return
         await asyncio.sleep(_RESTART_DELAY_S)
         if not self.renames_engines:
             self.fabric.restart(name)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -69,11 +69,11 @@
         await asyncio.sleep(0.1)
 
 
-async def _check_crashing_request(deployment, path, crash_after):
+async def _check_crashing_request(deployment, path, crash_after, seconds=10.0):
     """Checks the bound for one path, and that other requests are served."""
     await deployment.until(lambda: all(deployment.serving()))
     deployment.platform.crashing_bodies[CRASHING_BODY] = crash_after
-    await _send_repeatedly(deployment, path, 10.0)
+    await _send_repeatedly(deployment, path, seconds)
     late_attempts = _late_attempts(deployment)
     assert late_attempts <= MAX_LATE_ATTEMPTS, (
         f"{len(deployment.platform.crashes)} crashes, {late_attempts} late"
@@ -112,6 +112,22 @@
     deployment_fixtures.run(check, count=3, order_engine_count=6)
 
 
+def test_a_request_that_silences_replicas_stops_reaching_them():
+    async def check(deployment):
+        deployment.platform.crashes_silently = True
+        await _check_crashing_request(deployment, "/draft/1", 2, 20.0)
+
+    deployment_fixtures.run(check, count=3, engine_count=5, domain_count=3)
+
+
+def test_an_idempotent_request_that_silences_engines_stops_reaching_them():
+    async def check(deployment):
+        deployment.platform.crashes_silently = True
+        await _check_crashing_request(deployment, "/status/1", 0, 20.0)
+
+    deployment_fixtures.run(check, count=3, order_engine_count=6)
+
+
 def test_a_crashing_order_stops_reaching_engines():
     async def check(deployment):
         await _check_crashing_request(deployment, "/order/1", 0)
