--- a/tamarackpier/platform/edge.py
+++ b/tamarackpier/platform/edge.py
@@ -23,6 +23,7 @@
 # Time to the deadline of a request without a valid deadline header.
 _DEFAULT_TIMEOUT_S = 30.0
 _S_PER_MS = 1e-3
+_MAX_PROMPT_PARTS = 64
 # Headers that the instance handles itself and does not forward as they are.
 _CONSUMED_HEADERS = frozenset(
     name.encode()
@@ -97,6 +98,7 @@
         prompt_tokens,
         answer_tokens,
         _header_text(headers, wire.Header.LAST_EVENT_ID),
+        _shared_prompt_parts(_header_text(headers, wire.Header.PROMPT_PARTS)),
     )
 
 
@@ -124,6 +126,17 @@
     return int(prompt_tokens), int(answer_tokens)
 
 
+def _shared_prompt_parts(text: str) -> tuple[str, ...]:
+    """Returns the IDs of all parts but the last, which no request shares.
+
+    Args:
+        text: Comma-separated entries ID:TOKENS.
+    """
+    entries = text.split(",", _MAX_PROMPT_PARTS)[:_MAX_PROMPT_PARTS]
+    part_ids = (entry.partition(":")[0].strip() for entry in entries[:-1])
+    return tuple(part_id for part_id in part_ids if part_id)
+
+
 def answer_headers(
     request_id: str, retry_after_s: float | None
 ) -> list[tuple[bytes, bytes]]:
--- a/tamarackpier/platform/wire.py
+++ b/tamarackpier/platform/wire.py
@@ -11,6 +11,8 @@
     REQUEST_ID = "tamarackpier-request-id"
     DEADLINE_MS = "tamarackpier-deadline-ms"
     TOKEN_COUNT = "tamarackpier-token-count"
+    # The parts of the whole prompt, not only of its start.
+    PROMPT_PARTS = "tamarackpier-prompt-prefix"
     MODEL = "tamarackpier-model"
     LAST_EVENT_ID = "last-event-id"
     # Its presence proves that an engine made the response; the value is not a
--- a/tamarackpier/traffic/model.py
+++ b/tamarackpier/traffic/model.py
@@ -28,6 +28,8 @@
         answer_tokens: Maximum number of tokens to generate.
         last_event_id: ID of the event after which the stream resumes; empty
             for the start.
+        prompt_parts: IDs of the parts of the prompt that other requests may
+            share, in order.
     """
 
     id: str
@@ -43,3 +45,4 @@
     prompt_tokens: int
     answer_tokens: int
     last_event_id: str
+    prompt_parts: tuple[str, ...] = ()
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -228,6 +228,21 @@
     assert request.deadline > 10.0 or deadline_text.strip().isdigit()
 
 
+def test_the_last_part_of_a_prompt_is_not_one_that_requests_share():
+    for text, shared in (
+        (b"", ()),
+        (b"5c:800", ()),
+        (b"5c:800,91:410, e4:250", ("5c", "91")),
+        (b",:3,5c,e4", ("5c",)),
+        (b"a:1," * 20_000, ("a",) * 63),
+    ):
+        headers = [(wire.Header.PROMPT_PARTS.encode(), text)]
+        scope = {"method": "GET", "raw_path": b"/a", "headers": headers}
+        request = edge.decode_request(scope, b"/a", 0.0)
+        assert request.prompt_parts == shared
+        assert request.headers == tuple(headers)
+
+
 def test_internal_and_hop_by_hop_headers_of_callers_are_dropped():
     headers = [
         (wire.Header.ACCOUNT.encode(), b"forged"),
