--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -195,10 +195,12 @@
         engine = self.platform.fabric.engines[self.name]
         if not self.platform.fabric.is_reachable(self.name):
             await asyncio.sleep(3600)
-        crash_after = self.platform.crashing_bodies.get(body)
         headers = {
             name.decode(): value.decode() for name, value in scope["headers"]
         }
+        crash_after = self._crash_after(
+            body, headers.get(wire.Header.PROMPT_PARTS, "")
+        )
         engine_header = (wire.Header.ENGINE, self.name)
         if headers.get(wire.Header.EXPECT_ENGINE, self.name) != self.name:
             await _send_answer(send, 421, headers=(engine_header,))
@@ -210,6 +212,14 @@
         else:
             await self._request(headers, engine, crash_after, send)
 
+    def _crash_after(self, body: bytes, prompt_parts: str) -> int | None:
+        """Returns after how many events a request crashes its engine."""
+        for entry in prompt_parts.split(","):
+            part_id = entry.partition(":")[0]
+            if part_id in self.platform.crashing_parts:
+                return self.platform.crashing_parts[part_id]
+        return self.platform.crashing_bodies.get(body)
+
     async def _order(
         self, body: bytes, record: model.EngineRecord, send: Send
     ) -> None:
@@ -338,6 +348,7 @@
             nothing, instead of closing its port and connections.
         crashing_bodies: Number of events after which an engine crashes that
             runs a request with this body, by body; 0 for before its answer.
+        crashing_parts: The same by ID of a part of the prompt.
         crashes: Time, in seconds on the monotonic clock, and request ID of
             each crash by such a request.
         breaches: Descriptions of the invariant breaches so far.
@@ -360,6 +371,7 @@
         self.renames_engines = False
         self.crashes_silently = False
         self.crashing_bodies: dict[bytes, int] = {}
+        self.crashing_parts: dict[str, int] = {}
         self.crashes: list[tuple[float, str]] = []
         self.breaches: list[str] = []
         self.delayed_order_share = 0.0
--- a/tests/deployment_fixtures.py
+++ b/tests/deployment_fixtures.py
@@ -108,7 +108,16 @@
         await ended.close()
         return await self.start_instance(ended.settings.instance.id)
 
-    async def post(self, path, request_id, instance=0, body=b"{}", count=5):
+    async def post(
+        self,
+        path,
+        request_id,
+        instance=0,
+        body=b"{}",
+        count=5,
+        parts="",
+        key="key-1",
+    ):
         """Sends a request and returns the response and its body.
 
         Args:
@@ -117,16 +126,20 @@
             instance: Index of the instance to send it to.
             body: Body of the request.
             count: Number of events of the answer, if it is a stream.
+            parts: Parts of the prompt, comma-separated; empty for none.
+            key: API key of the caller.
         """
         callers = self.instances[instance].settings.listen.callers
         headers = {
             "Host": "a.example",
-            "Authorization": "Token key-1",
+            "Authorization": f"Token {key}",
             wire.Header.REQUEST_ID: request_id,
             wire.Header.DEADLINE_MS: "5000",
             wire.Header.MODEL: "large",
             wire.Header.TOKEN_COUNT: f"100,{count}",
         }
+        if parts:
+            headers[wire.Header.PROMPT_PARTS] = parts
         async with self.client.post(
             f"http://{callers}{path}", headers=headers, data=body
         ) as response:
