Quarantine prompt parts that crash engines

What callers saw: engines of a service ended one after the other, streams that ran beside were broken off, and requests were refused for want of replicas.

Cause: a limit for a fault that belongs to a part of a prompt was keyed by the whole request, so that each request with the part was a stranger.

Change: the parts of a prompt that requests may share are suspects like whole requests, in the same quarantine, exchange and store. A part is known by account and ID, so an account that names parts of others gets only itself refused. A completion acquits all parts of its request. Sound requests share parts with bad ones, so a verdict is on a request with all that it contains: suspects outside it may explain its deaths, if at most two do so for all but one. Messages keep room for new crashes beside those of old suspects, and a suspect with 16 cleared deaths can be accused again.

--- a/tamarackpier/cli/main.py
+++ b/tamarackpier/cli/main.py
@@ -211,7 +211,7 @@
 @_json_option
 @click.pass_obj
 def list_quarantine(api: api_lib.Api, as_json: bool) -> None:
-    """Lists the fingerprints of the refused requests."""
+    """Lists suspects; requests with one are refused or run alone."""
     _show(
         api.call("GET", "/operator/quarantine"),
         as_json,
--- a/tamarackpier/daemon/operators.py
+++ b/tamarackpier/daemon/operators.py
@@ -279,8 +279,8 @@
         self, request: falcon.asgi.Request, response: falcon.asgi.Response
     ) -> None:
         self.authenticator.authenticate(request)
-        refused = self.node.quarantine.refused_fingerprints(self.node.clock())
-        http.write_json(response, {"refused": refused})
+        suspects = self.node.quarantine.lasting_suspects(self.node.clock())
+        http.write_json(response, {"refused": suspects})
 
     async def on_delete(
         self, request: falcon.asgi.Request, response: falcon.asgi.Response
--- a/tamarackpier/daemon/quarantine_store.py
+++ b/tamarackpier/daemon/quarantine_store.py
@@ -1,4 +1,4 @@
-"""Keeps refused requests in the platform's store.
+"""Keeps what requests are refused for in the platform's store.
 
 The instances tell one another about crashes, but a restart of all of them would
 forget a request that crashes upstreams.
@@ -23,7 +23,7 @@
 
 
 class QuarantineStore:
-    """Loads refused fingerprints at the start, and keeps the store up to date.
+    """Loads suspects at the start, and keeps the store up to date.
 
     Attributes:
         quarantine: Requests that are suspected of crashing upstreams.
@@ -31,7 +31,7 @@
         metrics: Counters of this instance.
         clock: Returns the monotonic time, in seconds.
         wall_clock: Returns the Unix time, in seconds.
-        stored: Refused fingerprints that are in the store.
+        stored: Fingerprints of the suspects that are in the store.
         is_loaded: Whether the store has been read.
     """
 
@@ -60,17 +60,17 @@
             return
         if not self.is_loaded:
             self.is_loaded = await self._load()
-        refused = set(self.quarantine.refused_fingerprints(now))
-        for fingerprint in refused - self.stored:
+        suspects = set(self.quarantine.lasting_suspects(now))
+        for fingerprint in suspects - self.stored:
             if len(self.stored) < _MAX_ROWS:
                 await self._write(fingerprint, self._value(fingerprint))
-        for fingerprint in self.stored - refused:
+        for fingerprint in self.stored - suspects:
             verdict = self.quarantine.verdict(fingerprint, now)
             if verdict is quarantine_lib.Verdict.RUN:
                 await self._write(fingerprint, None)
 
     async def _load(self) -> bool:
-        """Reads the refused fingerprints; returns whether that succeeded."""
+        """Reads the suspects; returns whether that succeeded."""
         scan_result = await self.rows.scan(f"{_TABLE}/")
         if not pipeline.is_successful(scan_result):
             self._record_failure(scan_result.failure().code.name)
@@ -99,7 +99,7 @@
         )
 
     def _value(self, fingerprint: str) -> interfaces.Value:
-        """Returns the value of the row of a refused fingerprint."""
+        """Returns the value of the row of a suspect."""
         offset = self.wall_clock() - self.clock()
         deaths = self.quarantine.crashes[fingerprint]
         return {
--- a/tamarackpier/quarantine.py
+++ b/tamarackpier/quarantine.py
@@ -1,16 +1,18 @@
 """Quarantine for requests that crash the upstreams that run them.
 
-When an upstream crashes, every request that was running on it is a suspect of
-its death; a `Crash` pairs one suspect with one death. A request that is a
-suspect of enough deaths is refused, unless another request is a suspect of
-all the same deaths. In that case the cause is ambiguous, and each of them may
-run only on an upstream that runs no other such suspect: the next death caused
-by the faulty request then has no other suspect, and a harmless request
-completes and is cleared.
+The cause may be a whole request, or a part of its prompt that other requests
+share; each has a fingerprint. When an upstream crashes, every request that was
+running on it and every shared part of its prompt is a suspect of the death; a
+`Crash` pairs one suspect with one death. A request is refused if it or one of
+its parts is a suspect of enough deaths, unless other suspects of enough deaths,
+which the request doesn't contain, may have caused these. In that case the cause
+is ambiguous, and the request may run only on an upstream that runs no other
+such suspect: the next death that a faulty request causes then has no other
+suspect, and a harmless one completes and is cleared with all its parts.
 
 A request that crashes upstreams never completes. Many callers may send equal
-requests, so a completion clears a fingerprint and protects it for a while:
-several upstreams that end at once would otherwise incriminate it.
+requests or share parts, so a completion clears a fingerprint and protects it
+for a while: several upstreams that end at once would otherwise incriminate it.
 
 Crashes are exchanged between entry instances as sets, so merging them is
 idempotent and independent of order. A request that would be refused waits
@@ -22,9 +24,15 @@
 import enum
 import hashlib
 import heapq
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
-__all__ = ["Crash", "Quarantine", "Verdict", "fingerprint"]
+__all__ = [
+    "Crash",
+    "Quarantine",
+    "Verdict",
+    "fingerprint",
+    "part_fingerprint",
+]
 
 
 _PROPAGATION_S = 2.0
@@ -40,13 +48,19 @@
 # that has just started learns of it.
 _REPEATED = 2
 _MAX_SENT = 64
+# Share of a message that suspects of several deaths may fill, and the number of
+# deaths of each in it; the rest is for new crashes.
+_MAX_REPEATED_SENT = 48
+_MAX_DEATHS_SENT = 4
+# Number of other suspects that together may have caused a suspect's deaths.
+_MAX_EXPLANATIONS = 2
 _MAX_SUSPECTS = 4096
 _MAX_DEATHS_PER_SUSPECT = 16
 _MAX_COMPLETIONS = 2048
 
 
 class Verdict(enum.Enum):
-    """Whether and how a request may run.
+    """Whether and how a request may run, the most lenient first.
 
     Attributes:
         RUN: It may run on any replica.
@@ -61,12 +75,16 @@
     REFUSE = "refuse"
 
 
+_STRICTNESS = list(Verdict)
+
+
 @dataclasses.dataclass(frozen=True)
 class Crash:
-    """One request that was running on a replica when it crashed.
+    """One suspect that was running on a replica when it crashed.
 
     Attributes:
-        fingerprint: Fingerprint of the request's content.
+        fingerprint: Fingerprint of the request's content, or of a part of its
+            prompt.
         death: Identifier of the death: replica ID and fencing number.
         at: Monotonic time of the death, in seconds.
     """
@@ -87,6 +105,21 @@
     return digest.hexdigest()
 
 
+def part_fingerprint(account: str, part: bytes) -> str:
+    """Returns a short hash of a part of a prompt that requests may share.
+
+    The hash includes the account, so that an account that names parts that
+    others use gets only its own requests refused.
+
+    Args:
+        account: Name of the client account.
+        part: Content or ID of the part.
+    """
+    digest = hashlib.blake2b(part, digest_size=12, person=b"prompt part")
+    digest.update(b"\0" + account.encode())
+    return digest.hexdigest()
+
+
 class Quarantine:
     """Suspects of upstream crashes, as known to this entry instance.
 
@@ -124,12 +157,14 @@
         """Merges crashes observed by this instance or received from a peer."""
         for crash in crashes:
             deaths = self.crashes.setdefault(crash.fingerprint, {})
-            if len(deaths) >= _MAX_DEATHS_PER_SUSPECT:
-                continue
             # The first known time is kept. Peers send the age of a crash, so
             # each exchange would otherwise shift the time.
             if crash.death in deaths:
                 continue
+            if len(deaths) >= _MAX_DEATHS_PER_SUSPECT and not (
+                self._drop_cleared_death(crash.fingerprint)
+            ):
+                continue
             deaths[crash.death] = crash.at
             self.new_crashes[crash.fingerprint] = crash.at
             if len(deaths) >= min(_REPEATED, self.crash_threshold):
@@ -180,42 +215,97 @@
         completed_at = self.completed.get(request_fingerprint, float("-inf"))
         return completed_at > at - _COMPLETION_PROTECTS_S
 
-    def verdict(self, request_fingerprint: str, now: float) -> Verdict:
+    def verdict(
+        self,
+        request_fingerprint: str,
+        now: float,
+        parts: Collection[str] = (),
+    ) -> Verdict:
         """Returns whether and how a request may run now.
 
         Args:
             request_fingerprint: Fingerprint of the request.
             now: Monotonic time in seconds.
+            parts: Fingerprints of the shared parts of its prompt.
         """
-        if request_fingerprint not in self.crashes:
-            return Verdict.RUN
-        deaths = self.counted_deaths(request_fingerprint, now)
+        contained = {request_fingerprint, *parts}
+        verdicts = {
+            self._verdict_of_suspect(suspect, contained, now)
+            for suspect in contained
+            if suspect in self.crashes
+        }
+        return max(verdicts, key=_STRICTNESS.index, default=Verdict.RUN)
+
+    def _verdict_of_suspect(
+        self, suspect: str, contained: set[str], now: float
+    ) -> Verdict:
+        """Returns the verdict on a request because of one suspect.
+
+        Args:
+            suspect: Fingerprint of the suspect.
+            contained: All fingerprints of the request, the suspect among them.
+            now: Monotonic time in seconds.
+        """
+        deaths = self.counted_deaths(suspect, now)
         if len(deaths) < self.crash_threshold:
             return Verdict.RUN
-        common_suspects = set.intersection(
-            *(self.suspects[death] for death in deaths)
-        )
-        if any(
-            deaths <= self.counted_deaths(other_fingerprint, now)
-            for other_fingerprint in common_suspects - {request_fingerprint}
-        ):
+        unexplained = self._unexplained_deaths(deaths, contained, now)
+        # One death by chance, of an upstream that ran the suspect without the
+        # others, must not incriminate it.
+        if len(unexplained) < max(1, self.crash_threshold - 1):
             return Verdict.ALONE
-        last_death_at = max(
-            self.crashes[request_fingerprint][death] for death in deaths
-        )
+        last_death_at = self._last_death_at(suspect, deaths)
         return (
             Verdict.WAIT
             if now - last_death_at < _PROPAGATION_S
             else Verdict.REFUSE
         )
 
-    def refused_fingerprints(self, now: float) -> list[str]:
-        """Returns the fingerprints of requests that are refused now."""
-        return sorted(
-            request_fingerprint
-            for request_fingerprint in self.repeated
-            if self.verdict(request_fingerprint, now) is Verdict.REFUSE
-        )
+    def _unexplained_deaths(
+        self, deaths: set[str], contained: set[str], now: float
+    ) -> set[str]:
+        """Returns the deaths that no few suspects outside a request explain.
+
+        One part explains more deaths than each of the many requests that
+        contain it; these must not excuse it together.
+
+        Args:
+            deaths: Deaths of a suspect that the request contains.
+            contained: All fingerprints of the request.
+            now: Monotonic time in seconds.
+        """
+        others = set().union(*(self.suspects[death] for death in deaths))
+        explanations = [
+            other_deaths
+            for other in (others & self.repeated) - contained
+            if len(other_deaths := self.counted_deaths(other, now))
+            >= self.crash_threshold
+        ]
+        unexplained = deaths
+        for _ in range(min(_MAX_EXPLANATIONS, len(explanations))):
+            unexplained = min(
+                (unexplained - other_deaths for other_deaths in explanations),
+                key=len,
+            )
+        return unexplained
+
+    def _last_death_at(self, suspect: str, deaths: set[str]) -> float:
+        return max(self.crashes[suspect][death] for death in deaths)
+
+    def lasting_suspects(self, now: float) -> list[str]:
+        """Returns the suspects of enough deaths that no completion cleared.
+
+        Requests that contain one are refused or run alone.
+        """
+        lasting = []
+        for suspect in self.repeated:
+            deaths = self.counted_deaths(suspect, now)
+            if (
+                len(deaths) >= self.crash_threshold
+                and now - self._last_death_at(suspect, deaths) >= _PROPAGATION_S
+            ):
+                lasting.append(suspect)
+        return sorted(lasting)
 
     def counted_deaths(self, request_fingerprint: str, now: float) -> set[str]:
         """Returns the recent deaths since the request was last cleared."""
@@ -229,14 +319,22 @@
     def crashes_to_send(self, now: float) -> list[Crash]:
         """Returns the crashes that a message to a peer carries.
 
-        They are the new ones and those of repeated suspects that were not
-        cleared, up to a limit; suspects of the most deaths come first.
+        They are those of repeated suspects that were not cleared, suspects of
+        the most deaths first, and the new ones, newest first, up to a limit.
         """
-        return [
-            Crash(request_fingerprint, death, at)
-            for request_fingerprint in self._fingerprints_to_send(now)
-            for death, at in self.crashes[request_fingerprint].items()
-        ][:_MAX_SENT]
+        repeated = [
+            Crash(suspect, death, at)
+            for suspect in self._repeated_to_send(now)
+            for death, at in self._oldest_deaths(suspect, now)
+        ]
+        new = [
+            Crash(suspect, death, at)
+            for suspect in self._new_to_send(now)
+            for death, at in self.crashes[suspect].items()
+            if now - at < _SEND_S
+        ]
+        crashes = dict.fromkeys([*repeated[:_MAX_REPEATED_SENT], *new])
+        return list(crashes)[:_MAX_SENT]
 
     def cleared_to_send(self, now: float) -> dict[str, float]:
         """Returns the clearances that a message to a peer carries.
@@ -247,7 +345,8 @@
             Time up to which deaths don't count, by fingerprint.
         """
         fingerprints = [
-            *self._fingerprints_to_send(now),
+            *self._repeated_to_send(now),
+            *self._new_to_send(now),
             *heapq.nlargest(
                 _MAX_SENT,
                 (
@@ -288,19 +387,40 @@
                 break
             del self.completed[oldest]
 
-    def _fingerprints_to_send(self, now: float) -> list[str]:
+    def _repeated_to_send(self, now: float) -> list[str]:
+        return heapq.nlargest(
+            _MAX_REPEATED_SENT,
+            (
+                suspect
+                for suspect in self.repeated
+                if self.counted_deaths(suspect, now)
+            ),
+            key=self._suspicion,
+        )
+
+    def _new_to_send(self, now: float) -> list[str]:
         return heapq.nlargest(
             _MAX_SENT,
-            {
-                request_fingerprint
-                for request_fingerprint in self.repeated
-                if self.counted_deaths(request_fingerprint, now)
-            }.union(
-                request_fingerprint
-                for request_fingerprint, at in self.new_crashes.items()
+            (
+                suspect
+                for suspect, at in self.new_crashes.items()
                 if now - at < _SEND_S
             ),
-            key=self._suspicion,
+            key=lambda suspect: self.new_crashes[suspect],
+        )
+
+    def _oldest_deaths(
+        self, suspect: str, now: float
+    ) -> list[tuple[str, float]]:
+        """Returns the counted deaths, with their times, for a message."""
+        deaths = self.crashes[suspect]
+        return heapq.nsmallest(
+            _MAX_DEATHS_SENT,
+            (
+                (death, deaths[death])
+                for death in self.counted_deaths(suspect, now)
+            ),
+            key=lambda death: (death[1], death[0]),
         )
 
     def _suspicion(self, request_fingerprint: str) -> tuple[int, float]:
@@ -324,6 +444,15 @@
         for times in (self.cleared, self.new_crashes, self.new_clearances):
             times.pop(request_fingerprint, None)
 
+    def _drop_cleared_death(self, suspect: str) -> bool:
+        """Drops the oldest death if it was cleared; returns whether it was."""
+        deaths = self.crashes[suspect]
+        oldest = min(deaths, key=lambda death: (deaths[death], death))
+        if deaths[oldest] > self.cleared.get(suspect, float("-inf")):
+            return False
+        self._drop_death(suspect, oldest)
+        return True
+
     def _drop_death(self, request_fingerprint: str, death: str) -> None:
         del self.crashes[request_fingerprint][death]
         suspects = self.suspects[death]
--- a/tamarackpier/request/dispatch.py
+++ b/tamarackpier/request/dispatch.py
@@ -183,7 +183,9 @@
         """
         while True:
             now = self.clock()
-            verdict = self.quarantine.verdict(call.fingerprint, now)
+            verdict = self.quarantine.verdict(
+                call.fingerprint, now, call.part_fingerprints
+            )
             is_final = verdict is not quarantine_lib.Verdict.WAIT
             if is_final or now >= call.deadline:
                 return verdict
@@ -319,6 +321,7 @@
         in_flight = loads_lib.InFlightRequest(
             waiter.call.request_id,
             waiter.call.fingerprint,
+            waiter.call.part_fingerprints,
             replica.replica_id,
             evidence.fence,
         )
@@ -355,7 +358,9 @@
         if not waiter.is_isolated:
             return True
         return not any(
-            self.quarantine.verdict(in_flight.fingerprint, now)
+            self.quarantine.verdict(
+                in_flight.fingerprint, now, in_flight.part_fingerprints
+            )
             is not quarantine_lib.Verdict.RUN
             for in_flight in self.loads.requests(candidate.replica_id)
         )
--- a/tamarackpier/request/loads.py
+++ b/tamarackpier/request/loads.py
@@ -24,12 +24,14 @@
     Attributes:
         request_id: ID of the request.
         fingerprint: Fingerprint of the request's content.
+        part_fingerprints: Fingerprints of the shared parts of its prompt.
         replica_id: ID of the replica.
         fence: Fencing number of the replica.
     """
 
     request_id: str
     fingerprint: str
+    part_fingerprints: tuple[str, ...]
     replica_id: str
     fence: int
 
--- a/tamarackpier/request/model.py
+++ b/tamarackpier/request/model.py
@@ -28,6 +28,8 @@
         sampling: Sampling parameters that are passed on to the engine.
         is_streamed: Whether the caller asked for a streamed answer.
         fingerprint: Hash of account and content, for quarantine.
+        part_fingerprints: Hash of the account and of each message but the last,
+            which other calls of the account may share.
         prefix_key: Start of the content, for placement by prefix.
         cost: Maximum number of tokens of the call, prompt included.
         received_at: Monotonic time in seconds of arrival.
@@ -44,6 +46,7 @@
     sampling: dict[str, Any]
     is_streamed: bool
     fingerprint: str
+    part_fingerprints: tuple[str, ...]
     prefix_key: str
     cost: float
     received_at: float
--- a/tamarackpier/request/parse.py
+++ b/tamarackpier/request/parse.py
@@ -10,7 +10,7 @@
 from tamarackpier import codes, quarantine
 from tamarackpier.request import model
 
-__all__ = ["RequestContext", "model_call"]
+__all__ = ["RequestContext", "model_call", "part_fingerprints"]
 
 _DEFAULT_MAX_TOKENS = 256
 _MAX_TOKENS_LIMIT = 131_072
@@ -18,6 +18,7 @@
 _CHARACTERS_PER_TOKEN = 4
 # Length of the start of the content by which requests are placed.
 _PREFIX_CHARACTERS = 256
+_MAX_PARTS = 64  # Messages of a call that are known to the quarantine.
 # Parameters that are passed on to the engine unchanged.
 _SAMPLING_KEYS = (
     "temperature",
@@ -77,7 +78,7 @@
     if not isinstance(model_name, str) or not model_name:
         raise _BodyError("expected a non-empty string in 'model'")
     is_chat = kind is model.CallKind.CHAT
-    content = _messages(document) if is_chat else _prompt(document)
+    content: Any = _messages(document) if is_chat else _prompt(document)
     max_tokens = _max_tokens(document)
     is_streamed = document.get("stream", False)
     if not isinstance(is_streamed, bool):
@@ -95,6 +96,7 @@
         {key: document[key] for key in _SAMPLING_KEYS if key in document},
         is_streamed,
         fingerprint,
+        part_fingerprints(context.account, content) if is_chat else (),
         text[:_PREFIX_CHARACTERS],
         float(prompt_tokens + max_tokens),
         context.received_at,
@@ -102,6 +104,18 @@
     )
 
 
+def part_fingerprints(
+    account: str, messages: list[dict[str, Any]]
+) -> tuple[str, ...]:
+    """Returns the fingerprints of the messages that other calls may share."""
+    return tuple(
+        quarantine.part_fingerprint(
+            account, json.dumps(message, sort_keys=True).encode()
+        )
+        for message in messages[:-1][:_MAX_PARTS]
+    )
+
+
 def _parse_object(body: bytes) -> dict[str, Any]:
     try:
         document = json.loads(body)
--- a/tamarackpier/request/relay.py
+++ b/tamarackpier/request/relay.py
@@ -46,12 +46,14 @@
 
     Attributes:
         fingerprint: Fingerprint of the request's content.
+        part_fingerprints: Fingerprints of the shared parts of its prompt.
         replica_id: The replica that served the stream.
         fence: Fencing number of the replica.
         at: Monotonic time in seconds at which the stream broke.
     """
 
     fingerprint: str
+    part_fingerprints: tuple[str, ...]
     replica_id: str
     fence: int
     at: float
@@ -164,10 +166,13 @@
         )
         if has_crashed:
             death = f"{suspected_crash.replica_id}@{suspected_crash.fence}"
-            crash = quarantine_lib.Crash(
-                suspected_crash.fingerprint, death, suspected_crash.at
+            self.dispatcher.quarantine.add(
+                quarantine_lib.Crash(suspect, death, suspected_crash.at)
+                for suspect in (
+                    suspected_crash.fingerprint,
+                    *suspected_crash.part_fingerprints,
+                )
             )
-            self.dispatcher.quarantine.add([crash])
             self.metrics.count("crash_suspect")
             return True
         # Evidence from after the stream broke shows that the replica did not
@@ -259,9 +264,11 @@
             self._cancel_upstream()
         self._close_stream()
         if self.assembler.is_done:
-            relay.dispatcher.quarantine.complete(
-                self.call.fingerprint, relay.clock()
-            )
+            for suspect in (
+                self.call.fingerprint,
+                *self.call.part_fingerprints,
+            ):
+                relay.dispatcher.quarantine.complete(suspect, relay.clock())
             self._record_completion()
 
     def is_stalled(self, now: float) -> bool:
@@ -490,6 +497,7 @@
         self.relay.suspected_crashes.append(
             SuspectedCrash(
                 self.call.fingerprint,
+                self.call.part_fingerprints,
                 slot.evidence.replica_id,
                 slot.evidence.fence,
                 self.relay.clock(),
--- a/tamarackpier/standin/scenario.py
+++ b/tamarackpier/standin/scenario.py
@@ -453,14 +453,18 @@
 @EXPECTATIONS.register("quarantined")
 def _quarantined(world: "world_lib.World", arguments: list[str]) -> object:
     counts = {
-        entry.name: len(
-            entry.node.quarantine.refused_fingerprints(world.clock())
-        )
+        entry.name: len(entry.node.quarantine.lasting_suspects(world.clock()))
         for entry in world.live_entries()
     }
     return set(counts.values()) == {int(arguments[0])} or counts
 
 
+@EXPECTATIONS.register("crashes_below")
+def _crashes_below(world: "world_lib.World", arguments: list[str]) -> object:
+    crash_count = world.ledger.crashes_by_request
+    return crash_count < int(arguments[0]) or crash_count
+
+
 @EXPECTATIONS.register("breakers")
 def _breakers(world: "world_lib.World", arguments: list[str]) -> object:
     breaker_count = sum(
--- a/tamarackpier/standin/spec.py
+++ b/tamarackpier/standin/spec.py
@@ -4,7 +4,7 @@
 import random
 
 from tamarackpier import settings
-from tamarackpier.request import identify
+from tamarackpier.request import identify, parse
 from tamarackpier.request import model as request_model
 
 __all__ = [
@@ -130,7 +130,7 @@
         account: Client account that sends the call.
         now: Time of arrival, in seconds on the monotonic clock.
     """
-    content = messages[0]["content"]
+    content = " / ".join(message["content"] for message in messages)
     return request_model.ModelCall(
         f"req-{rng.random()}",
         account,
@@ -141,6 +141,7 @@
         {},
         True,
         f"{account}/{content}",
+        parse.part_fingerprints(account, messages),
         content[:8],
         float(tokens + 4),
         now,
--- a/tamarackpier/standin/world.py
+++ b/tamarackpier/standin/world.py
@@ -31,6 +31,7 @@
 _LEAVING_NOTICE_S = 5.0
 # Time after which an engine that was crashed by a request restarts.
 _CRASH_RESTART_S = 10.0
+_MESSAGE_SEPARATOR = " / "
 # Placeholder for the node of an entry: the node's links need the entry first.
 _NODE_NOT_CREATED: Any = None
 
@@ -346,7 +347,7 @@
         """Starts a caller that sends a draft and checks the answer.
 
         Args:
-            content: Content of the message.
+            content: Contents of the messages, separated by " / ".
             tokens: Number of tokens to generate.
             account: Client account of the caller.
             via: Entry instance of the first attempt; empty for a random one.
@@ -486,7 +487,10 @@
         account: str,
         max_attempts: int,
     ) -> None:
-        messages = [{"role": "user", "content": content}]
+        messages = [
+            {"role": "user", "content": text}
+            for text in content.split(_MESSAGE_SEPARATOR)
+        ]
         for _ in range(max_attempts):
             retry_s = await self._attempt_draft(
                 entry, messages, tokens, account
--- a/tamarackpier/traffic/attempt.py
+++ b/tamarackpier/traffic/attempt.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "CompleteAnswer",
+    "WatchedAttempt",
     "deliver",
     "fetch_answer",
     "read_body",
@@ -53,22 +54,45 @@
     body: bytes
 
 
+@dataclasses.dataclass
+class WatchedAttempt:
+    """An attempt that the crash watch observes.
+
+    Attributes:
+        is_completed: Whether the engine ran the request to a successful end.
+    """
+
+    is_completed: bool = False
+
+
 @contextlib.contextmanager
 def watched_for_crash(
     relay: relay_lib.Relay, run: run_lib.Run, candidate: selection.Candidate
-) -> Iterator[None]:
-    """Reports to the relay's crash watch how an attempt ends."""
+) -> Iterator[WatchedAttempt]:
+    """Reports to the relay's crash watch how an attempt ends.
+
+    Yields:
+        The attempt, in which the caller records its success.
+    """
     upstream = relay.upstream_of(candidate)
+    is_isolated = run.is_isolated
+    watched = WatchedAttempt()
 
     def record(is_broken: bool) -> None:
         now = relay.clock()
         attempt = crash_watch.EndedAttempt(
-            run.request.id, run.fingerprint, upstream, is_broken, now
+            run.request.id,
+            run.fingerprint,
+            upstream,
+            is_broken,
+            now,
+            run.part_fingerprints,
         )
         relay.crash_watch.record(attempt, now)
 
+    relay.isolated_runs += is_isolated
     try:
-        yield
+        yield watched
     except run_lib.AttemptFailedError as error:
         if error.reason in _BROKEN_REASONS:
             record(is_broken=True)
@@ -77,7 +101,11 @@
         # Also for streams that leave a replica that lost a member.
         record(is_broken=False)
         raise
-    relay.quarantine.complete(run.fingerprint, relay.clock())
+    finally:
+        relay.isolated_runs -= is_isolated
+    if watched.is_completed:
+        for suspect in (run.fingerprint, *run.part_fingerprints.values()):
+            relay.quarantine.complete(suspect, relay.clock())
 
 
 async def send(
@@ -155,9 +183,10 @@
     started_at = relay.clock()
     relay.engine_loads.begin(engine_id)
     try:
-        with watched_for_crash(relay, run, candidate):
+        with watched_for_crash(relay, run, candidate) as watched:
             answer = await send(relay, run, candidate)
             body = await read_body(answer)
+            watched.is_completed = True
         now = relay.clock()
         if answer.status >= 500:
             relay.engine_scores.record_failure(engine_id, now)
--- a/tamarackpier/traffic/crash_watch.py
+++ b/tamarackpier/traffic/crash_watch.py
@@ -61,6 +61,8 @@
         is_broken: Whether the connection broke, which justifies a probe;
             otherwise the attempt was given up.
         at: Time at which it ended, in seconds on the monotonic clock.
+        part_fingerprints: Fingerprints of the shared parts of its prompt, by
+            the part's ID.
     """
 
     request_id: str
@@ -68,6 +70,14 @@
     upstream: Upstream
     is_broken: bool
     at: float
+    part_fingerprints: Mapping[str, str] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def suspects(self) -> tuple[str, ...]:
+        """Fingerprints of the request and of the parts of its prompt."""
+        return (self.fingerprint, *self.part_fingerprints.values())
 
 
 @dataclasses.dataclass
@@ -226,13 +236,19 @@
     ) -> None:
         is_repeated = False
         for attempt in attempts:
-            if self.quarantine.is_protected(attempt.fingerprint, now):
+            suspects = [
+                suspect
+                for suspect in attempt.suspects
+                if not self.quarantine.is_protected(suspect, now)
+            ]
+            if not suspects:
                 continue
             self.quarantine.add(
-                [quarantine_lib.Crash(attempt.fingerprint, upstream.death, now)]
+                quarantine_lib.Crash(suspect, upstream.death, now)
+                for suspect in suspects
             )
             self.metrics.count("crash_suspect")
-            is_repeated |= attempt.fingerprint in self.quarantine.repeated
+            is_repeated |= not self.quarantine.repeated.isdisjoint(suspects)
             logs.failure(
                 "crash suspect",
                 request=attempt.request_id,
@@ -240,14 +256,23 @@
                 death=upstream.death,
                 engine=upstream.engines[0].id,
                 replica=upstream.key.replica if upstream.key else "",
-                deaths=len(
-                    self.quarantine.counted_deaths(attempt.fingerprint, now)
-                ),
-                verdict=self.quarantine.verdict(attempt.fingerprint, now).value,
+                deaths=self._death_count(attempt.fingerprint, now),
+                part_deaths={
+                    part_id: self._death_count(suspect, now)
+                    for part_id, suspect in attempt.part_fingerprints.items()
+                },
+                verdict=self.quarantine.verdict(
+                    attempt.fingerprint,
+                    now,
+                    attempt.part_fingerprints.values(),
+                ).value,
             )
         if is_repeated:
             self.on_repeated()
 
+    def _death_count(self, suspect: str, now: float) -> int:
+        return len(self.quarantine.counted_deaths(suspect, now))
+
 
 def _ended_by_rows(
     undecided: _Undecided, engines: Mapping[str, model.EngineRecord]
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -55,6 +55,8 @@
 _QUARANTINE_S = 86_400.0
 # Long, since only a changed request or engine helps.
 _SUSPECT_RETRY_AFTER_S = 60.0
+# Time in which completions elsewhere are known here, which may clear a suspect.
+_VERDICT_RETRY_AFTER_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -110,6 +112,8 @@
         instances: Number of instances that share the retry budgets.
         started_at: Start of the process, in seconds on the relay's clock.
         in_flight: Number of requests without a final answer.
+        isolated_runs: Number of attempts in flight of suspects that may not
+            run beside others.
     """
 
     def __init__(
@@ -144,6 +148,7 @@
         self.instances = _ASSUMED_INSTANCES
         self.started_at = clock()
         self.in_flight = 0
+        self.isolated_runs = 0
 
     async def handle(
         self, request: model.Request, connection: caller.Caller
@@ -275,6 +280,12 @@
             min(_LOWEST_PRIORITY, max(0, priority)),
             body,
             quarantine.fingerprint(account_name, content),
+            {
+                part_id: quarantine.part_fingerprint(
+                    account_name, part_id.encode("latin-1")
+                )
+                for part_id in request.prompt_parts
+            },
             ends_at,
             routing.version,
         )
@@ -349,19 +360,9 @@
             for candidate in candidates
             if candidate.upstream not in run.tried
         ]
-        if verdict is quarantine.Verdict.ALONE:
-            untried = [
-                candidate
-                for candidate in untried
-                if not candidate.usage.running
-            ]
-            if not untried:
-                raise run_lib.refusal(
-                    codes.CRASH_SUSPECT,
-                    f"fingerprint {run.fingerprint} may run only alone, and all"
-                    " upstreams run other requests",
-                    self._retry_after_s(),
-                )
+        run.is_isolated = verdict is quarantine.Verdict.ALONE
+        if run.is_isolated:
+            untried = self._isolated_candidates(run, untried)
         available = [
             candidate
             for candidate in untried
@@ -383,6 +384,28 @@
             self._retry_after_s(),
         )
 
+    def _isolated_candidates(
+        self, run: run_lib.Run, candidates: list[selection.Candidate]
+    ) -> list[selection.Candidate]:
+        """Returns the upstreams at which a suspect may run.
+
+        These are the idle ones; or all, while no other suspect is running.
+
+        Raises:
+            run_lib.RefusedError: There are none.
+        """
+        idle = [
+            candidate for candidate in candidates if not candidate.usage.running
+        ]
+        if idle or not self.isolated_runs or not candidates:
+            return idle or candidates
+        raise run_lib.refusal(
+            codes.CRASH_SUSPECT,
+            f"fingerprint {run.fingerprint} may not run beside other suspects,"
+            " and no upstream is idle",
+            self._retry_after_s(),
+        )
+
     def _check_suspicion(
         self, run: run_lib.Run, now: float
     ) -> quarantine.Verdict:
@@ -391,15 +414,27 @@
         Raises:
             run_lib.RefusedError: The request may not run.
         """
-        verdict = self.quarantine.verdict(run.fingerprint, now)
+        parts = run.part_fingerprints
+        verdict = self.quarantine.verdict(run.fingerprint, now, parts.values())
         if verdict in (quarantine.Verdict.RUN, quarantine.Verdict.ALONE):
             return verdict
-        deaths = self.quarantine.counted_deaths(run.fingerprint, now)
+        suspects = {
+            f"fingerprint {run.fingerprint}": run.fingerprint,
+            **{f"prompt part {part_id}": parts[part_id] for part_id in parts},
+        }
+        deaths_by_name = {
+            name: self.quarantine.counted_deaths(suspect, now)
+            for name, suspect in suspects.items()
+        }
+        name = max(suspects, key=lambda name: len(deaths_by_name[name]))
+        deaths = deaths_by_name[name]
         raise run_lib.refusal(
             codes.CRASH_SUSPECT,
-            f"fingerprint {run.fingerprint} was running when {len(deaths)}"
-            f" upstreams ended: {', '.join(sorted(deaths))}",
-            _SUSPECT_RETRY_AFTER_S,
+            f"{name} was running when {len(deaths)} upstreams ended:"
+            f" {', '.join(sorted(deaths))}",
+            _VERDICT_RETRY_AFTER_S
+            if verdict is quarantine.Verdict.WAIT
+            else _SUSPECT_RETRY_AFTER_S,
         )
 
     def _retry_after_s(self) -> float:
--- a/tamarackpier/traffic/run.py
+++ b/tamarackpier/traffic/run.py
@@ -1,6 +1,7 @@
 """State of an admitted request, and the errors that end it or an attempt."""
 
 import dataclasses
+from collections.abc import Mapping
 
 from tamarackpier import codes
 from tamarackpier.routing import model as routing_model
@@ -35,6 +36,8 @@
         body: Complete body of the request.
         fingerprint: Hash of the account and of what was asked, equal for all
             retries of the request by its caller.
+        part_fingerprints: Hash of the account and of each part of the prompt
+            that other requests may share, by the part's ID.
         ends_at: Time at which the caller gets a final answer at the latest,
             in seconds on the relay's clock.
         version: Version of the configuration that admitted the request.
@@ -44,6 +47,8 @@
             replica that had already lost a member.
         possible_runs: Number of attempts in which an engine may have run the
             request.
+        is_isolated: Whether the next attempt may not run beside other suspects
+            of upstream deaths.
         last_failure: Engine ID and error of the last failed attempt, for logs
             and faults.
     """
@@ -55,11 +60,13 @@
     priority: int
     body: bytes
     fingerprint: str
+    part_fingerprints: Mapping[str, str]
     ends_at: float
     version: int
     tried: list[str] = dataclasses.field(default_factory=list)
     counted_attempts: int = 0
     possible_runs: int = 0
+    is_isolated: bool = False
     last_failure: str = ""
 
     @property
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -161,9 +161,9 @@
                 _tracked_attempt(
                     relay, run, candidate, scope
                 ) as stream_attempt,
-                attempt.watched_for_crash(relay, run, candidate),
+                attempt.watched_for_crash(relay, run, candidate) as watched,
             ):
-                await _pass_on(
+                watched.is_completed = await _pass_on(
                     relay, run, candidate, stream, connection, stream_attempt
                 )
     except TimeoutError:
@@ -195,9 +195,12 @@
     stream: events.EventStream,
     connection: caller.Caller,
     stream_attempt: stream_attempts.StreamAttempt,
-) -> None:
+) -> bool:
     """Sends an attempt and passes on the events of its answer.
 
+    Returns:
+        Whether the engine ran the request to a successful end.
+
     Raises:
         run_lib.AttemptFailedError: The answer is missing, invalid or cut off.
     """
@@ -210,7 +213,7 @@
         answer = await attempt.send(relay, run, candidate, stream.last_id)
         if answer.status >= 300:
             await _pass_on_failure(relay, run, answer, connection)
-            return
+            return True
         while True:
             data = await answer.read()
             stream_attempt.has_received_data |= bool(data)
@@ -231,7 +234,7 @@
                 relay.replica_scores.record_success(key.replica, slowness, now)
             await _write(output, answer, connection, is_end=not data)
             if not data:
-                return
+                return True
             stream_attempt.waiting_since = relay.clock()
     except gateway.AnswerBrokenError as error:
         relay.on_attempt_failed(key)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -111,6 +111,77 @@
     assert not suspects.completed
 
 
+def _crashes(*deaths):
+    """Returns the crashes of deaths, each given with its suspects."""
+    return [
+        (suspect, f"d{number}", 10.0 + number)
+        for number, suspects in enumerate(deaths)
+        for suspect in suspects
+    ]
+
+
+def test_a_part_that_unequal_requests_share_is_refused():
+    suspects = _quarantine(
+        *_crashes(("a", "all", "bad"), ("b", "all", "bad"), ("c", "all", "bad"))
+    )
+    verdict = suspects.verdict("new", 30.0, ("all", "bad"))
+    assert verdict is quarantine.Verdict.REFUSE
+    # Whether a part that sound requests contain is to blame shows only there.
+    assert suspects.verdict("n", 30.0, ("all",)) is quarantine.Verdict.ALONE
+    suspects.complete("all", 31.0)
+    assert suspects.verdict("n", 32.0, ("all",)) is quarantine.Verdict.RUN
+    assert suspects.verdict("n", 32.0, ("bad",)) is quarantine.Verdict.REFUSE
+
+
+def test_two_bad_parts_and_a_death_by_chance_do_not_incriminate_a_shared_part():
+    deaths = [("all", "bad")] * 3 + [("all", "worse")] * 3 + [("all", "sound")]
+    suspects = _quarantine(*_crashes(*deaths))
+    for part in ("bad", "worse"):
+        verdict = suspects.verdict("new", 30.0, ("all", part))
+        assert verdict is quarantine.Verdict.REFUSE
+    assert suspects.verdict("n", 30.0, ("all",)) is quarantine.Verdict.ALONE
+    assert suspects.verdict("n", 30.0, ("sound",)) is quarantine.Verdict.RUN
+
+
+def test_requests_do_not_excuse_a_part_that_all_of_them_contain():
+    deaths = [(name, "bad") for name in "abcd" for _ in range(3)]
+    suspects = _quarantine(*_crashes(*deaths))
+    verdict = suspects.verdict("new", 40.0, ("bad",))
+    assert verdict is quarantine.Verdict.REFUSE
+
+
+def test_a_cleared_part_that_turns_bad_is_found():
+    suspects = _quarantine()
+    for number in range(40):
+        at = 10.0 + number
+        suspects.complete("part", at)
+        suspects.add([quarantine.Crash("part", f"d{number}", at)])
+    assert suspects.verdict("new", 60.0, ("part",)) is quarantine.Verdict.RUN
+    for number in range(3):
+        suspects.add([quarantine.Crash("part", f"e{number}", 150.0)])
+    verdict = suspects.verdict("new", 160.0, ("part",))
+    assert verdict is quarantine.Verdict.REFUSE
+
+
+def test_new_crashes_are_sent_beside_many_old_ones():
+    deaths = [(f"old{number}", "old") for number in range(16)] * 16
+    suspects = _quarantine(*_crashes(*deaths))
+    suspects.add([quarantine.Crash("new", "e1", 990.0)])
+    sent = suspects.crashes_to_send(990.1)
+    assert quarantine.Crash("new", "e1", 990.0) in sent
+    assert len(sent) <= 64
+
+
+def test_parts_of_accounts_and_whole_requests_have_different_fingerprints():
+    prints = {
+        quarantine.fingerprint("a", b"x"),
+        quarantine.part_fingerprint("a", b"x"),
+        quarantine.part_fingerprint("b", b"x"),
+        quarantine.part_fingerprint("a", b"y"),
+    }
+    assert len(prints) == 4
+
+
 @hypothesis.settings(derandomize=True, database=None)
 @hypothesis.given(
     strategies.lists(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -671,6 +671,7 @@
                 1,
                 b"",
                 "",
+                {},
                 request.deadline,
                 1,
                 tried=["r1"],
