Acquit requests only by successful answers

An engine that answered 500 acquitted the request and protected it for a minute, although it may have written nothing: a part of a prompt that crashes engines would then be acquitted by any engine that fails part of its requests. Now only an answer below 500, and for streams below 300, that is complete acquits.

Measured: test_an_error_answer_does_not_acquit_a_request_that_may_crash_engines fails without the change and passes with it.

--- a/tamarackpier/traffic/attempt.py
+++ b/tamarackpier/traffic/attempt.py
@@ -186,7 +186,7 @@
         with watched_for_crash(relay, run, candidate) as watched:
             answer = await send(relay, run, candidate)
             body = await read_body(answer)
-            watched.is_completed = True
+            watched.is_completed = answer.status < 500
         now = relay.clock()
         if answer.status >= 500:
             relay.engine_scores.record_failure(engine_id, now)
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -213,7 +213,7 @@
         answer = await attempt.send(relay, run, candidate, stream.last_id)
         if answer.status >= 300:
             await _pass_on_failure(relay, run, answer, connection)
-            return True
+            return False
         while True:
             data = await answer.read()
             stream_attempt.has_received_data |= bool(data)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -905,3 +905,24 @@
             assert max(sent) < endless.MAX_BYTES
 
     _run(check)
+
+
+def test_an_error_answer_does_not_acquit_a_request_that_may_crash_engines():
+    async def fail(arrival):
+        await arrival.write(
+            rough_engine.encode_answer(arrival, b"why", "500 Oops")
+        )
+
+    async def check():
+        async with (
+            rough_engine.serve_script(fail) as (address, arrivals),
+            _relay(
+                [_plain("o1", address), *_replica("r1", address)]
+            ) as request_relay,
+        ):
+            for path in ("/order/1", "/status/1", "/draft/1"):
+                await request_relay.handle(_request(path), _Caller())
+        assert len(arrivals) >= 3
+        assert not request_relay.quarantine.completed
+
+    _run(check)
