--- a/tamarackpier/platform/decode.py
+++ b/tamarackpier/platform/decode.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
@@ -12,7 +13,13 @@
 from tamarackpier.platform import wire
 from tamarackpier.routing import model
 
-__all__ = ["configuration", "engine_record", "engine_report", "row_value"]
+__all__ = [
+    "configuration",
+    "engine_record",
+    "engine_report",
+    "request_rate",
+    "row_value",
+]
 
 T = TypeVar("T")
 _S_PER_MS = 1e-3
@@ -207,6 +214,21 @@
     return value
 
 
+def request_rate(text: str | None) -> float | None:
+    """Returns a limit on requests a second; None if it is absent or invalid.
+
+    Args:
+        text: Decimal number.
+    """
+    if text is None:
+        return None
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def engine_report(
     engine_id: str, data: bytes
 ) -> result.Result[fleet_model.EngineReport, codes.Fault]:
--- a/tamarackpier/platform/engines.py
+++ b/tamarackpier/platform/engines.py
@@ -117,6 +117,9 @@
         self.is_not_run = (
             wire.Header.NOT_RUN in response_headers or response.status == 421
         )
+        self.max_request_rate = decode.request_rate(
+            response_headers.get(wire.Header.REQUEST_RATE)
+        )
         # For a body with neither a length nor chunks, only the way in which
         # the connection closes tells a complete body from a truncated one.
         connection = response.connection
--- a/tamarackpier/platform/wire.py
+++ b/tamarackpier/platform/wire.py
@@ -24,6 +24,8 @@
     ENGINE = "tamarackpier-instance-id"
     NOT_RUN = "tamarackpier-not-executed"
     PRIORITY = "tamarackpier-request-priority"
+    # Requests a second that an engine takes from all instances together.
+    REQUEST_RATE = "server-limit"
     RETRY_AFTER = "retry-after"
     AUTHORIZATION = "authorization"
 
--- a/tamarackpier/traffic/attempt.py
+++ b/tamarackpier/traffic/attempt.py
@@ -5,6 +5,7 @@
 import dataclasses
 from collections.abc import Iterator
 
+from tamarackpier import logs
 from tamarackpier.traffic import caller, crash_watch, selection
 from tamarackpier.traffic import relay as relay_lib
 from tamarackpier.traffic import run as run_lib
@@ -147,6 +148,13 @@
             str(error),
             not error.is_sent,
         ) from error
+    if answer.max_request_rate is not None:
+        logs.decision(
+            "upstream limited",
+            request=run.request.id,
+            engine=candidate.engine.id,
+            requests_per_s=answer.max_request_rate,
+        )
     problem = _check_answer(answer)
     if problem:
         answer.close()
--- a/tamarackpier/upstream/gateway.py
+++ b/tamarackpier/upstream/gateway.py
@@ -74,6 +74,8 @@
         matches_request: Whether the answer carries the ID of the request that
             was sent.
         is_not_run: Whether the engine states that it did not run the request.
+        max_request_rate: Requests a second that the engine takes from all
+            instances together; None if it names no limit.
     """
 
     status: int
@@ -81,6 +83,7 @@
     has_proof: bool
     matches_request: bool
     is_not_run: bool
+    max_request_rate: float | None
 
     async def read(self) -> bytes:
         """Returns the next bytes of the body; empty at its end.
