--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -251,10 +251,14 @@
         send: Send,
     ) -> None:
         request_id = headers.get(wire.Header.REQUEST_ID, "")
-        engine_headers = (
+        engine_headers: tuple[tuple[str, str], ...] = (
             (wire.Header.REQUEST_ID, request_id),
             (wire.Header.PROOF, f"proof-{self.name}"),
         )
+        max_rate = self.platform.request_rates.get(self.name)
+        if max_rate is not None:
+            self.platform.limited_arrivals[self.name].append(time.monotonic())
+            engine_headers += ((wire.Header.REQUEST_RATE, str(max_rate)),)
         membership = engine.membership
         serves_models = bool(engine.record.domain)
         if serves_models and (membership is None or membership.rank != 0):
@@ -351,6 +355,10 @@
         crashing_parts: The same by ID of a part of the prompt.
         crashes: Time, in seconds on the monotonic clock, and request ID of
             each crash by such a request.
+        request_rates: Requests a second that an engine says it takes, by its
+            ID.
+        limited_arrivals: Times, in seconds on the monotonic clock, of the
+            requests that came to an engine while it had such a limit.
         breaches: Descriptions of the invariant breaches so far.
         delayed_order_share: Share of orders that are carried out seconds later
             and not answered.
@@ -373,6 +381,10 @@
         self.crashing_bodies: dict[bytes, int] = {}
         self.crashing_parts: dict[str, int] = {}
         self.crashes: list[tuple[float, str]] = []
+        self.request_rates: dict[str, float] = {}
+        self.limited_arrivals: dict[str, list[float]] = collections.defaultdict(
+            list
+        )
         self.breaches: list[str] = []
         self.delayed_order_share = 0.0
         self.rng = random.Random(0)
