Keep engines within the requests a second that they take

What callers saw: nothing yet.

Nothing read the limit that an engine names in its answers; upstreams were chosen by what is in flight. The class is a bound on a sum that nobody sums.

Change: each limit is divided into equal shares among the instances, by rendezvous hashing of engine and instance, so that no instance asks before it sends and those with the same members agree. A small limit has few shares (two per request a second and three), because a share saves up a request. Members come and go with the roster: one that announces that it leaves or whose port is closed passes its shares on; one that is only silent keeps them, since it may be cut off and sending; one that has just started holds none before it knows its peers. Limits and their ends go to peers with the status exchange; the newest answer wins, another start of the engine has none. What fits nowhere is refused at once with 3115 and the time at which this instance may send it; callers that are refused together get different times. A refusal by a limited engine is no failure: neither score nor probe.

--- a/tamarackpier/codes.py
+++ b/tamarackpier/codes.py
@@ -378,6 +378,13 @@
     _LATER,
     "Every engine that could run the request is full.",
 )
+UPSTREAMS_LIMITED = _define(
+    3115,
+    "upstreams_limited",
+    503,
+    _LATER,
+    "Every engine that could run the request gets as many as it takes.",
+)
 QUARANTINED = _define(
     3106,
     "quarantined",
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -41,6 +41,8 @@
 _PEER_ROUND_PERIOD_S = 0.25
 _PLAN_PERIOD_S = 0.1
 _QUARANTINE_PERIOD_S = 0.25
+# Time after its start in which an instance learns of its peers, if it has any.
+_PEERS_KNOWN_S = 10.0
 _PLANNER_READ_INTERVAL_S = 0.05
 # Reads of the store are charged. This is a fifth of the time in which an
 # instance must learn that an engine drains.
@@ -478,6 +480,10 @@
         if self._registered_count:
             live_count = 1 + len(self.roster.live(now))
             self.relay.instances = max(live_count, self._registered_count)
+        self.relay.limits.set_members(
+            self.roster.own_presence.id, self._limit_members(now)
+        )
+        self.relay.limits.keep_only(self.fleet.engines, now)
         self.relay.replica_loads.expire(now)
         self.relay.engine_loads.expire(now)
         self.relay.streams.keep_only(set(self.fleet.replicas()))
@@ -486,6 +492,19 @@
         self.peers.start_exchanges()
         self.catch_up.tick(now)
 
+    def _limit_members(self, now: float) -> set[str]:
+        """Returns the IDs of the instances that share the engines' limits.
+
+        Before an instance that has just started knows its peers, they hold all
+        shares.
+        """
+        members = self.roster.possible_senders()
+        is_alone = members == {self.roster.own_presence.id}
+        may_have_peers = self._registered_count != 1 and (
+            now - self.relay.started_at < _PEERS_KNOWN_S
+        )
+        return set() if is_alone and may_have_peers else members
+
     async def _register(self) -> None:
         """Registers this instance in the store and adds the others as contacts.
 
--- a/tamarackpier/daemon/peer_status.py
+++ b/tamarackpier/daemon/peer_status.py
@@ -3,14 +3,15 @@
 import binascii
 import dataclasses
 import functools
+import math
 from collections.abc import Callable
 
 from tamarackpier import logs
 from tamarackpier.daemon import probing, zone_controller
 from tamarackpier.fleet import fleet_view, model
-from tamarackpier.peer import crash_codec, zone_claims
+from tamarackpier.peer import ages, crash_codec, zone_claims
 from tamarackpier.peer import roster as roster_lib
-from tamarackpier.traffic import load, relay
+from tamarackpier.traffic import load, rate_limits, relay
 from tamarackpier.wire import entry_pb2
 
 __all__ = ["Claim", "PeerStatuses", "incarnation_hash"]
@@ -126,6 +127,10 @@
             ],
         )
         crash_codec.add_crashes(self.relay.quarantine, status, now)
+        status.limits.extend(
+            _limit_to_wire(limit, now)
+            for limit in self.relay.limits.to_send(now)
+        )
         return status
 
     def receive(self, status: entry_pb2.EntryStatus) -> None:
@@ -150,6 +155,8 @@
         if self.fleet.may_be_stale(now):
             for observed in status.observed:
                 self._receive_observation(observed, now)
+        for limit in status.limits:
+            self._receive_limit(limit, status.sender.id, now)
         try:
             crash_codec.merge_crashes(self.relay.quarantine, status, now)
         except ValueError as error:
@@ -391,6 +398,29 @@
         )
         self.prober.suspend(suspension, f"peer {sender}")
 
+    def _receive_limit(
+        self, message: entry_pb2.RateLimit, sender: str, now: float
+    ) -> None:
+        engine = self.fleet.engines.get(message.engine)
+        rate = message.rate if message.HasField("rate") else None
+        is_valid = rate is None or (math.isfinite(rate) and rate >= 0)
+        if engine is None or not is_valid:
+            return
+        limit = rate_limits.Limit(
+            message.engine,
+            message.incarnation,
+            rate,
+            ages.local_time(message.age_ms, now),
+        )
+        if self.relay.limits.record(limit):
+            logs.event(
+                "upstream limited" if rate is not None else "limit ended",
+                engine=message.engine,
+                requests_per_s=rate,
+                members=len(self.relay.limits.members),
+                peer=sender,
+            )
+
     def _receive_observation(
         self, observed: entry_pb2.Observed, now: float
     ) -> None:
@@ -439,6 +469,15 @@
     return _hash(f"{key.replica}/{key.fence}")
 
 
+def _limit_to_wire(limit: rate_limits.Limit, now: float) -> entry_pb2.RateLimit:
+    return entry_pb2.RateLimit(
+        engine=limit.engine_id,
+        incarnation=limit.incarnation,
+        rate=limit.rate,
+        age_ms=ages.age_ms(limit.at, now),
+    )
+
+
 def _observed_to_wire(
     engine: model.EngineRecord, age_s: float
 ) -> entry_pb2.Observed:
--- a/tamarackpier/peer/roster.py
+++ b/tamarackpier/peer/roster.py
@@ -89,6 +89,22 @@
             else _GOSSIP_SILENCE_S
         )
 
+    def possible_senders(self) -> set[str]:
+        """Returns the IDs of the instances that may be sending requests.
+
+        A silent one may go on sending, unless it announced that it leaves or
+        its address refuses connections.
+        """
+        presences = [
+            self.own_presence,
+            *(presence for presence, _ in self.others.values()),
+        ]
+        return {
+            presence.id
+            for presence in presences
+            if not presence.is_leaving and presence.id not in self.refused
+        }
+
     def record_beat(
         self,
         peer_id: str,
--- a/tamarackpier/traffic/attempt.py
+++ b/tamarackpier/traffic/attempt.py
@@ -5,13 +5,13 @@
 import dataclasses
 from collections.abc import Iterator
 
-from tamarackpier import logs
 from tamarackpier.traffic import caller, crash_watch, selection
 from tamarackpier.traffic import relay as relay_lib
 from tamarackpier.traffic import run as run_lib
 from tamarackpier.upstream import gateway
 
 __all__ = [
+    "LIMITED",
     "CompleteAnswer",
     "WatchedAttempt",
     "deliver",
@@ -21,6 +21,9 @@
     "watched_for_crash",
 ]
 
+# Reason of a failure in which an engine with a limit ran nothing; it isn't
+# faulty.
+LIMITED = "limited"
 # Reasons of failures in which the connection to the engine broke.
 _BROKEN_REASONS = ("no_answer", "cut_off")
 # Maximum size of an answer that is read to its end before it is passed on.
@@ -148,13 +151,8 @@
             str(error),
             not error.is_sent,
         ) from error
-    if answer.max_request_rate is not None:
-        logs.decision(
-            "upstream limited",
-            request=run.request.id,
-            engine=candidate.engine.id,
-            requests_per_s=answer.max_request_rate,
-        )
+    if answer.matches_request:
+        relay.record_limit(run, candidate, answer.max_request_rate)
     problem = _check_answer(answer)
     if problem:
         answer.close()
@@ -162,7 +160,8 @@
     if answer.is_not_run:
         answer.close()
         detail = f"the engine did not run the request: HTTP {answer.status}"
-        raise _failed_attempt_error(run, "not_run", detail, True)
+        reason = "not_run" if answer.max_request_rate is None else LIMITED
+        raise _failed_attempt_error(run, reason, detail, True)
     return answer
 
 
@@ -204,7 +203,8 @@
     except run_lib.AttemptFailedError as error:
         run.last_failure = f"{engine_id}: {error}"
         relay.log_failed_attempt(run, candidate, error)
-        relay.engine_scores.record_failure(engine_id, relay.clock())
+        if error.reason != LIMITED:
+            relay.engine_scores.record_failure(engine_id, relay.clock())
         raise
     finally:
         relay.engine_loads.end(engine_id)
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -27,6 +27,7 @@
     crash_watch,
     load,
     model,
+    rate_limits,
     score,
     selection,
     stream_attempts,
@@ -55,6 +56,7 @@
 _QUARANTINE_S = 86_400.0
 # Long, since only a changed request or engine helps.
 _SUSPECT_RETRY_AFTER_S = 60.0
+_MAX_DESCRIBED = 12  # Upstreams that the detail of a refusal names.
 # Time in which completions elsewhere are known here, which may clear a suspect.
 _VERDICT_RETRY_AFTER_S = 2.0
 
@@ -103,6 +105,7 @@
             expected time to the first event.
         quarantine: Requests that are suspected of crashing upstreams.
         crash_watch: Finds out which failed attempts ended with their upstream.
+        limits: Limits of engines on the requests a second that they take.
         budgets: Retry budgets by service.
         invariants: Checks of conditions that must always hold.
         rows_read_at: Returns the time at which the engines' rows were last
@@ -139,6 +142,7 @@
         self.replica_scores = score.Scores()
         self.quarantine = quarantine.Quarantine(_CRASH_THRESHOLD, _QUARANTINE_S)
         self.crash_watch = crash_watch.CrashWatch(self.quarantine, counts)
+        self.limits = rate_limits.UpstreamLimits()
         self.budgets: dict[str, budget.RetryBudget] = {}
         self.invariants = invariants.Invariants()
         self.rows_read_at: Callable[[], float] = clock
@@ -360,6 +364,8 @@
             for candidate in candidates
             if candidate.upstream not in run.tried
         ]
+        if untried:
+            untried = self._candidates_within_limits(run, untried, now)
         run.is_isolated = verdict is quarantine.Verdict.ALONE
         if run.is_isolated:
             untried = self._isolated_candidates(run, untried)
@@ -370,7 +376,9 @@
         ]
         if available:
             chooser = selection.CHOOSERS.get(self.settings.chooser)
-            return chooser(available, criteria, self.rng)
+            chosen = chooser(available, criteria, self.rng)
+            self.limits.take(chosen.engine)
+            return chosen
         if untried:
             raise run_lib.refusal(
                 codes.UPSTREAMS_FULL,
@@ -384,6 +392,40 @@
             self._retry_after_s(),
         )
 
+    def _candidates_within_limits(
+        self,
+        run: run_lib.Run,
+        candidates: list[selection.Candidate],
+        now: float,
+    ) -> list[selection.Candidate]:
+        """Returns the upstreams whose limits admit another request.
+
+        Raises:
+            run_lib.RefusedError: There are none.
+        """
+        admitting = [
+            candidate
+            for candidate in candidates
+            if self.limits.wait_s(candidate.engine, now) == 0
+        ]
+        if admitting:
+            return admitting
+        engines = [candidate.engine for candidate in candidates]
+        wait_s = min(self.limits.wait_s(engine, now) for engine in engines)
+        if not run.tried:
+            asked = f"{run.service}/{run.request.model}"
+            wait_s = self.limits.promise_s(asked, engines, now)
+        rates = ", ".join(
+            f"{engine.id} {self.limits.rate(engine)}"
+            for engine in engines[:_MAX_DESCRIBED]
+        )
+        raise run_lib.refusal(
+            codes.UPSTREAMS_LIMITED,
+            f"all {len(candidates)} upstreams have limits on requests a second"
+            f" that are used up: {rates}",
+            wait_s,
+        )
+
     def _isolated_candidates(
         self, run: run_lib.Run, candidates: list[selection.Candidate]
     ) -> list[selection.Candidate]:
@@ -468,6 +510,33 @@
             last_event_id,
         )
 
+    def record_limit(
+        self,
+        run: run_lib.Run,
+        candidate: selection.Candidate,
+        max_rate: float | None,
+    ) -> None:
+        """Records the limit that an engine named in an answer, or that none.
+
+        Args:
+            run: State of the request.
+            candidate: Upstream that answered.
+            max_rate: Requests a second; None for no limit.
+        """
+        engine = candidate.engine
+        limit = rate_limits.Limit(
+            engine.id, engine.incarnation, max_rate, self.clock()
+        )
+        if self.limits.record(limit):
+            self.metrics.count("limit_changed")
+            logs.event(
+                "upstream limited" if max_rate is not None else "limit ended",
+                request=run.request.id,
+                engine=engine.id,
+                requests_per_s=max_rate,
+                members=len(self.limits.members),
+            )
+
     def log_attempt(
         self,
         run: run_lib.Run,
@@ -557,11 +626,11 @@
 def _describe_load(candidates: list[selection.Candidate]) -> str:
     """Returns a message with the running requests and slots of upstreams.
 
-    It names at most 12 of them.
+    It names at most `_MAX_DESCRIBED` of them.
     """
     loads = ", ".join(
         f"{candidate.usage.running}/{candidate.slots}"
-        for candidate in candidates[:12]
+        for candidate in candidates[:_MAX_DESCRIBED]
     )
     return f"all {len(candidates)} upstreams are full or would be late: {loads}"
 
--- a/tests/test_engine_limits.py
+++ b/tests/test_engine_limits.py
@@ -1,6 +1,7 @@
 """Tests of engines that limit the requests a second that they take."""
 
 import asyncio
+import collections
 import contextlib
 import itertools
 import time
@@ -32,6 +33,14 @@
     ]
 
 
+def _busiest(platform):
+    """Returns the ID of the engine that ran the most requests."""
+    runs = collections.Counter(
+        name for names in platform.ran.values() for name in names
+    )
+    return runs.most_common(1)[0][0]
+
+
 class _Callers:
     """Callers that send requests to all instances in turn.
 
@@ -97,9 +106,9 @@
 def test_a_limit_holds_for_the_sum_over_all_instances():
     async def check(deployment):
         await deployment.until(lambda: min(deployment.serving()) >= 3)
-        limited, *_ = _leads(deployment)
-        deployment.platform.request_rates[limited] = 1.0
         callers = _Callers(deployment)
+        await callers.send(2, 25)
+        deployment.platform.request_rates[_busiest(deployment.platform)] = 1.0
         await callers.send(12, 25)
         _check_arrivals(deployment.platform)
         assert set(callers.statuses()) == {200}
@@ -117,7 +126,7 @@
 
         await deployment.until(lambda: min(deployment.serving()) >= 3)
         platform = deployment.platform
-        for lead in _leads(deployment)[:2]:
+        for lead in _leads(deployment):
             platform.request_rates[lead] = 1.5
         await asyncio.gather(
             _Callers(deployment).send(16, 25), replace_instances()
@@ -130,8 +139,9 @@
 def test_a_limit_of_an_engine_of_a_plain_service_holds():
     async def check(deployment):
         await deployment.until(lambda: all(deployment.serving()))
-        deployment.platform.request_rates["o0"] = 1.0
         callers = _Callers(deployment)
+        await callers.send(2, 15, "/status/1")
+        deployment.platform.request_rates[_busiest(deployment.platform)] = 1.0
         await asyncio.gather(
             callers.send(10, 15, "/order/1"), callers.send(10, 15, "/status/1")
         )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -926,3 +926,37 @@
         assert not request_relay.quarantine.completed
 
     _run(check)
+
+
+def test_an_engine_that_refuses_beyond_its_limit_is_not_taken_for_faulty():
+    async def refuse(arrival):
+        headers = f"{wire.Header.REQUEST_RATE}: 0.5\r\n{wire.Header.NOT_RUN}: 1"
+        await arrival.write(
+            rough_engine.encode_answer(
+                arrival, b"", "503 Busy", f"{headers}\r\n"
+            )
+        )
+
+    async def check():
+        probed = []
+        async with (
+            rough_engine.serve_script(refuse) as (address, arrivals),
+            _relay(
+                [_plain("o1", address), *_replica("r1", address)]
+            ) as request_relay,
+        ):
+            request_relay.on_attempt_failed = probed.append
+            outcomes = [
+                await request_relay.handle(_request(path), _Caller())
+                for path in ("/order/1", "/draft/1", "/draft/1")
+            ]
+        assert len(arrivals) == 2
+        assert not probed
+        assert not request_relay.engine_scores.scores
+        assert all(
+            _fault_code(outcome).outcome is codes.Outcome.NOT_RUN
+            for outcome in outcomes
+        )
+        assert _fault_code(outcomes[-1]) is codes.UPSTREAMS_LIMITED
+
+    _run(check)
