Treat a stream that ends inside an event as broken off

It ends its attempt as cut off now, so that the stream resumes elsewhere where it may, and is left incomplete where not. Blank lines after the last event are no event.

Measured: test_a_stream_that_ends_inside_an_event_was_broken_off (chunks and none) and the one for streams that may not resume fail without the change and pass with it. Answers and streams with neither length nor chunks, complete and reset, were served rightly before: four tests that pass without the change.

--- a/tamarackpier/traffic/events.py
+++ b/tamarackpier/traffic/events.py
@@ -2,7 +2,7 @@
 
 import re
 
-__all__ = ["EventStream", "StreamGapError"]
+__all__ = ["EventStream", "StreamCutError", "StreamGapError"]
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _EVENT_ID = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
@@ -12,6 +12,10 @@
 _MAX_EVENT_END_BYTES = 4
 
 
+class StreamCutError(Exception):
+    """An engine ended a stream inside an event."""
+
+
 class StreamGapError(Exception):
     """An engine skipped an event, or sent too much that is no new event."""
 
@@ -63,8 +67,17 @@
         return b"".join(events)
 
     def take_remainder(self) -> bytes:
-        """Returns and clears what follows the answer's last complete event."""
+        """Returns and clears what follows the answer's last complete event.
+
+        Raises:
+            StreamCutError: The answer ended inside an event.
+        """
         remainder, self._partial = self._partial, b""
+        if remainder.strip():
+            raise StreamCutError(
+                f"ended inside an event, {len(remainder)} bytes after event"
+                f" {self.last_id or 'none'}"
+            )
         return remainder
 
     def resume(self) -> None:
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -236,7 +236,7 @@
             if not data:
                 return True
             stream_attempt.waiting_since = relay.clock()
-    except gateway.AnswerBrokenError as error:
+    except (gateway.AnswerBrokenError, events.StreamCutError) as error:
         relay.on_attempt_failed(key)
         raise run_lib.AttemptFailedError(
             "cut_off", str(error), False
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -960,3 +960,141 @@
         assert _fault_code(outcomes[-1]) is codes.UPSTREAMS_LIMITED
 
     _run(check)
+
+
+def _ending_stream(last, end, is_framed, resets=False):
+    """Returns a script that sends events and then something that is none.
+
+    Args:
+        last: Number of the last complete event of the first attempt. A resumed
+            stream gets all events up to the sixth.
+        end: Bytes after that event.
+        is_framed: Whether the answer has chunks; else it ends with the
+            connection.
+        resets: Whether the connection is reset instead of closed.
+    """
+
+    async def script(arrival):
+        after = int(arrival.header(wire.Header.LAST_EVENT_ID) or 0)
+        data = _events(after + 1, 6) if after else _events(1, last) + end
+        head = endless.STREAM_HEAD.format(id="req-1")
+        if is_framed:
+            head += "Transfer-Encoding: chunked\r\n"
+            data = _chunk(data) + b"0\r\n\r\n"
+        await arrival.write(f"{head}\r\n".encode() + data)
+        if resets and not after:
+            await asyncio.sleep(0.05)
+            arrival.reset()
+
+    return script
+
+
+async def _run_ending_stream(script, path="/draft/1"):
+    """Returns the outcome, the caller and the number of attempts."""
+    async with (
+        rough_engine.serve_script(script) as (address, arrivals),
+        _relay(
+            _replica("r1", address) + _replica("r2", address)
+        ) as request_relay,
+    ):
+        caller = _Caller()
+        outcome = await request_relay.handle(_request(path), caller)
+    return outcome, caller, len(arrivals)
+
+
+def test_a_stream_without_length_or_chunks_ends_with_its_connection():
+    async def check():
+        script = _ending_stream(6, b"", is_framed=False)
+        outcome, caller, attempts = await _run_ending_stream(script)
+        assert pipeline.is_successful(outcome)
+        assert (caller.data, caller.is_complete) == (_events(1, 6), True)
+        assert attempts == 1
+
+    _run(check)
+
+
+def test_a_stream_without_length_or_chunks_that_is_reset_resumes():
+    async def check():
+        for end in (b"", b"id: 4\nda"):
+            script = _ending_stream(3, end, is_framed=False, resets=True)
+            outcome, caller, attempts = await _run_ending_stream(script)
+            assert pipeline.is_successful(outcome)
+            assert (caller.data, caller.is_complete) == (_events(1, 6), True)
+            assert attempts == 2
+
+    _run(check)
+
+
+def test_a_stream_that_ends_inside_an_event_was_broken_off():
+    async def check():
+        for is_framed in (True, False):
+            for end in (b"id: 4\nda", b"id: 4\ndata: e4\n", b"i"):
+                script = _ending_stream(3, end, is_framed)
+                outcome, caller, attempts = await _run_ending_stream(script)
+                assert pipeline.is_successful(outcome)
+                assert caller.data == _events(1, 6)
+                assert caller.is_complete
+                assert attempts == 2
+
+    _run(check)
+
+
+def test_a_stream_may_end_with_blank_lines():
+    async def check():
+        script = _ending_stream(6, b"\r\n", is_framed=True)
+        outcome, caller, attempts = await _run_ending_stream(script)
+        assert pipeline.is_successful(outcome)
+        assert caller.is_complete
+        assert attempts == 1
+
+    _run(check)
+
+
+def test_a_stream_that_may_not_resume_and_ends_inside_an_event_is_incomplete():
+    async def check():
+        once = hosted_fixtures.route(is_resumable=False)
+        async with (
+            rough_engine.serve_script(
+                _ending_stream(3, b"id: 4\nda", is_framed=True)
+            ) as (address, arrivals),
+            _relay(_replica("r1", address)) as request_relay,
+        ):
+            request_relay.apply_configuration(
+                table.create_routing(
+                    hosted_fixtures.configuration(routes=(once,))
+                )
+            )
+            caller = _Caller()
+            outcome = await request_relay.handle(_request(), caller)
+        assert _fault_code(outcome) is codes.STREAM_INCOMPLETE
+        assert not caller.is_complete
+        assert len(arrivals) == 1
+
+    _run(check)
+
+
+def test_an_answer_without_length_or_chunks_ends_with_its_connection():
+    async def check():
+        for resets in (False, True):
+
+            async def script(arrival, resets=resets):
+                data = rough_engine.encode_answer(arrival, b"done")
+                await arrival.write(data.replace(b"Content-Length: 4\r\n", b""))
+                if resets:
+                    await asyncio.sleep(0.05)
+                    arrival.reset()
+
+            async with (
+                rough_engine.serve_script(script) as (address, _),
+                _relay([_plain("o1", address)]) as request_relay,
+            ):
+                caller = _Caller()
+                outcome = await request_relay.handle(
+                    _request("/order/1"), caller
+                )
+            if resets:
+                assert _fault_code(outcome) is codes.OUTCOME_UNKNOWN
+            else:
+                assert (caller.data, caller.is_complete) == (b"done", True)
+
+    _run(check)
