Probe a replica when it counts as stuck

A replica is stuck after 1.5 s without an event, but probe rounds that can find it were 0.6 s apart, so that a stream left it after up to 2.1 s, and its caller gives up after 2 s. A round is now due at the moment at which the replica counts as stuck, however recent the last one is.

--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -27,8 +27,6 @@
 _MAX_LOOP_LAG_S = 0.04
 _MAX_SERIES = 3  # Maximum number of series of tries for one engine.
 _SUSPENSION_S = 3.0  # The platform drops a dead engine's row after 3.6 s.
-# Silence after which a replica is stuck and not slow, even if members answer.
-_STUCK_AFTER_S = 1.5
 # Time between two probes of an engine that did not answer.
 _RECHECK_INTERVAL_S = 0.7
 # Time after a probe round during which failed attempts and polls start none.
@@ -277,17 +275,9 @@
         """
         if probe_result.queued:
             return False
-        wait_starts = [
-            stream.waiting_since
-            for stream in self.streams.by_key.get(key, ())
-            if stream.waiting_since is not None
-        ]
-        if not wait_starts:
-            return False
-        progress_at = max(
-            min(wait_starts), self.streams.last_data_at.get(key, 0.0)
-        )
-        return now - progress_at > _STUCK_AFTER_S * max(1.0, probe_result.pace)
+        silence_s = now - self.streams.progress_at(key)
+        stuck_after_s = stream_attempts.STUCK_AFTER_S
+        return silence_s > stuck_after_s * max(1.0, probe_result.pace)
 
     async def probe_engine(self, engine: model.EngineRecord) -> ReportResult:
         """Probes one engine; repeats the tries if this process stalled."""
--- a/tamarackpier/traffic/stream_attempts.py
+++ b/tamarackpier/traffic/stream_attempts.py
@@ -8,16 +8,19 @@
 import asyncio
 import collections
 import dataclasses
+import math
 
 from tamarackpier.fleet import model
 
-__all__ = ["STUCK", "StreamAttempt", "StreamAttempts"]
+__all__ = ["STUCK", "STUCK_AFTER_S", "StreamAttempt", "StreamAttempts"]
 
 # Reason for moving streams off a replica whose members all answer although its
 # lead sends nothing. Unlike a replica that lost a member, it may have started
 # the requests that it was sent.
 STUCK = "nothing moves"
 
+# Silence after which a replica is stuck and not slow, even if members answer.
+STUCK_AFTER_S = 1.5
 _MISSED_EVENTS = 2.5  # Event intervals without data before a probe.
 # Allowance for two round trips between zones and event loop lag.
 _MIN_SILENCE_S = 0.03
@@ -112,7 +115,11 @@
         """
         replicas = []
         for key, attempts in self.by_key.items():
-            if now - self.probed_at.get(key, -1e9) < _REPROBE_S:
+            probed_at = self.probed_at.get(key, -1e9)
+            stuck_at = self.progress_at(key) + STUCK_AFTER_S
+            # A round that ended before the replica counted as stuck did not
+            # find that, and the next regular one may come too late.
+            if now - probed_at < _REPROBE_S and not probed_at < stuck_at < now:
                 continue
             overdue_s = max(
                 self._overdue_s(attempt, now) for attempt in attempts
@@ -121,6 +128,22 @@
                 replicas.append((key, overdue_s))
         return replicas
 
+    def progress_at(self, key: model.ReplicaKey) -> float:
+        """Returns the time of a replica's last sign of progress, in seconds.
+
+        It is that of its last data, or the start of the longest present wait
+        for data if that is later; infinite if no stream waits.
+        """
+        longest_wait_since = min(
+            (
+                attempt.waiting_since
+                for attempt in self.by_key.get(key, ())
+                if attempt.waiting_since is not None
+            ),
+            default=math.inf,
+        )
+        return max(longest_wait_since, self.last_data_at.get(key, 0.0))
+
     def interrupt(self, key: model.ReplicaKey, reason: str) -> int:
         """Ends all attempts at a replica; returns their number."""
         attempts = list(self.by_key.get(key, ()))
