--- a/tamarackpier/traffic/rate_limits.py
+++ b/tamarackpier/traffic/rate_limits.py
@@ -14,9 +14,8 @@
 import math
 from collections.abc import Iterable, Mapping
 
-import xxhash
-
 from tamarackpier.fleet import model
+from tamarackpier.peer import membership
 
 __all__ = ["Limit", "UpstreamLimits"]
 
@@ -236,23 +235,9 @@
                 len(self.members),
                 math.floor(rate * _SHARES_PER_RATE) + _EXTRA_SHARES,
             )
-            holders = _holders(share.limit.engine_id, self.members, share_count)
+            ranked = membership.rendezvous(share.limit.engine_id, self.members)
+            holders = ranked[:share_count]
             share.own_rate = (
                 rate / share_count if self.own_id in holders else 0.0
             )
         return share.own_rate
-
-
-def _holders(engine_id: str, members: Iterable[str], count: int) -> list[str]:
-    """Returns the members that hold the shares of an engine's limit.
-
-    By rendezvous hashing, a member that comes or goes changes one holder of an
-    engine at most.
-    """
-    return sorted(
-        members,
-        key=lambda member: (
-            xxhash.xxh64_intdigest(f"{engine_id}/{member}".encode()),
-            member,
-        ),
-    )[:count]
