Let one instance try a refused suspect again

Engines also end by chance. One instance, chosen by rendezvous hash among the members, now lets a request with a refused suspect run 30 s after the last death and, if that fails, once more 300 s after it. The platform accepts three late requests.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -29,6 +29,7 @@
     zone_controller,
 )
 from tamarackpier.fleet import fleet_view
+from tamarackpier.peer import membership
 from tamarackpier.peer import roster as roster_lib
 from tamarackpier.platform import engines, interfaces, store, wire
 from tamarackpier.routing import table
@@ -132,6 +133,7 @@
             self.metrics,
             self.clock,
         )
+        self.relay.quarantine.may_try = self._may_try
         self.relay.on_attempt_failed = self.prober.probe_after_failure
 
     def _build_peer_exchange(self, incarnation: int) -> None:
@@ -492,6 +494,12 @@
         self.peers.start_exchanges()
         self.catch_up.tick(now)
 
+    def _may_try(self, suspect: str) -> bool:
+        """Returns whether this is the instance that tries a suspect again."""
+        limits = self.relay.limits
+        ranked = membership.rendezvous(suspect, limits.members)
+        return ranked[:1] == [limits.own_id]
+
     def _limit_members(self, now: float) -> set[str]:
         """Returns the IDs of the instances that share the engines' limits.
 
--- a/tamarackpier/quarantine.py
+++ b/tamarackpier/quarantine.py
@@ -10,6 +10,9 @@
 such suspect: the next death that a faulty request causes then has no other
 suspect, and a harmless one completes and is cleared with all its parts.
 
+Engines may have ended by chance, and what is refused can't complete. So each
+suspect is tried again a few times, long apart, by one instance.
+
 A request that crashes upstreams never completes. Many callers may send equal
 requests or share parts, so a completion clears a fingerprint and protects it
 for a while: several upstreams that end at once would otherwise incriminate it.
@@ -24,7 +27,7 @@
 import enum
 import hashlib
 import heapq
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 __all__ = [
     "Crash",
@@ -54,6 +57,12 @@
 _MAX_DEATHS_SENT = 4
 # Number of other suspects that together may have caused a suspect's deaths.
 _MAX_EXPLANATIONS = 2
+# Time from the last death or trial of a suspect until its first trial, and the
+# factor on it for each further one.
+_TRIAL_AFTER_S = 30.0
+_TRIAL_FACTOR = 10.0
+# The platform accepts three late requests of a suspect.
+_MAX_TRIALS = 2
 _MAX_SUSPECTS = 4096
 _MAX_DEATHS_PER_SUSPECT = 16
 _MAX_COMPLETIONS = 2048
@@ -78,6 +87,19 @@
 _STRICTNESS = list(Verdict)
 
 
+@dataclasses.dataclass(frozen=True)
+class _Trials:
+    """Trials of one suspect by this instance.
+
+    Attributes:
+        count: Number of trials.
+        last_at: Monotonic time in seconds of the last one.
+    """
+
+    count: int
+    last_at: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Crash:
     """One suspect that was running on a replica when it crashed.
@@ -120,6 +142,9 @@
     return digest.hexdigest()
 
 
+_NO_TRIALS = _Trials(0, float("-inf"))
+
+
 class Quarantine:
     """Suspects of upstream crashes, as known to this entry instance.
 
@@ -138,6 +163,9 @@
         new_crashes: Monotonic time in seconds of the last new death of each
             suspect, while messages have to carry it, by fingerprint.
         new_clearances: The same for clearances.
+        may_try: Returns whether this instance may let a suspect run again to
+            see whether it is harmless.
+        trials: Trials by this instance, by fingerprint.
     """
 
     def __init__(self, crash_threshold: int, keep_s: float) -> None:
@@ -152,6 +180,8 @@
         self.repeated: set[str] = set()
         self.new_crashes: dict[str, float] = {}
         self.new_clearances: dict[str, float] = {}
+        self.may_try: Callable[[str], bool] = lambda suspect: False
+        self.trials: dict[str, _Trials] = {}
 
     def add(self, crashes: Iterable[Crash]) -> None:
         """Merges crashes observed by this instance or received from a peer."""
@@ -255,10 +285,37 @@
         if len(unexplained) < max(1, self.crash_threshold - 1):
             return Verdict.ALONE
         last_death_at = self._last_death_at(suspect, deaths)
+        if now - last_death_at < _PROPAGATION_S:
+            return Verdict.WAIT
+        if self._is_trial_due(suspect, last_death_at, now):
+            return Verdict.ALONE
+        return Verdict.REFUSE
+
+    def begin_run(self, fingerprints: Iterable[str], now: float) -> None:
+        """Records that a request begins to run, which may be a trial.
+
+        Args:
+            fingerprints: All fingerprints of the request.
+            now: Monotonic time in seconds.
+        """
+        for suspect in fingerprints:
+            deaths = self.counted_deaths(suspect, now)
+            if len(deaths) < self.crash_threshold:
+                continue
+            last_death_at = self._last_death_at(suspect, deaths)
+            if self._is_trial_due(suspect, last_death_at, now):
+                count = self.trials.get(suspect, _NO_TRIALS).count
+                self.trials[suspect] = _Trials(count + 1, now)
+
+    def _is_trial_due(
+        self, suspect: str, last_death_at: float, now: float
+    ) -> bool:
+        trials = self.trials.get(suspect, _NO_TRIALS)
+        delay_s = _TRIAL_AFTER_S * _TRIAL_FACTOR**trials.count
         return (
-            Verdict.WAIT
-            if now - last_death_at < _PROPAGATION_S
-            else Verdict.REFUSE
+            trials.count < _MAX_TRIALS
+            and now - max(last_death_at, trials.last_at) >= delay_s
+            and self.may_try(suspect)
         )
 
     def _unexplained_deaths(
@@ -443,6 +500,7 @@
         self.repeated.discard(request_fingerprint)
         for times in (self.cleared, self.new_crashes, self.new_clearances):
             times.pop(request_fingerprint, None)
+        self.trials.pop(request_fingerprint, None)
 
     def _drop_cleared_death(self, suspect: str) -> bool:
         """Drops the oldest death if it was cleared; returns whether it was."""
--- a/tamarackpier/traffic/attempt.py
+++ b/tamarackpier/traffic/attempt.py
@@ -79,6 +79,7 @@
         The attempt, in which the caller records its success.
     """
     upstream = relay.upstream_of(candidate)
+    suspects = (run.fingerprint, *run.part_fingerprints.values())
     is_isolated = run.is_isolated
     watched = WatchedAttempt()
 
@@ -94,6 +95,7 @@
         )
         relay.crash_watch.record(attempt, now)
 
+    relay.quarantine.begin_run(suspects, relay.clock())
     relay.isolated_runs += is_isolated
     try:
         yield watched
@@ -108,7 +110,7 @@
     finally:
         relay.isolated_runs -= is_isolated
     if watched.is_completed:
-        for suspect in (run.fingerprint, *run.part_fingerprints.values()):
+        for suspect in suspects:
             relay.quarantine.complete(suspect, relay.clock())
 
 
--- a/tests/test_crashing_prompt_parts.py
+++ b/tests/test_crashing_prompt_parts.py
@@ -270,3 +270,21 @@
         assert "last" not in deployment.platform.ran
 
     deployment_fixtures.run(check, **(LARGE | {"count": 2}))
+
+
+def test_one_instance_tries_a_suspect_again():
+    async def check(deployment):
+        await deployment.until(
+            lambda: all(
+                len(instance.relay.limits.members) == 3
+                for instance in deployment.instances
+            )
+        )
+        for number in range(20):
+            triers = [
+                instance.relay.quarantine.may_try(f"suspect-{number}")
+                for instance in deployment.instances
+            ]
+            assert sum(triers) == 1
+
+    deployment_fixtures.run(check, count=3)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -172,6 +172,36 @@
     assert len(sent) <= 64
 
 
+def test_a_refused_part_is_tried_again_by_one_instance_a_few_times():
+    suspects = _quarantine(*_crashes(*[("part",)] * 3))
+    is_trier = False
+    suspects.may_try = lambda suspect: is_trier
+    times = (20.0, 41.0, 43.0, 342.0, 400.0, 5000.0, 80_000.0)
+    suspects.keep_s = 86_400.0
+    for now in times:
+        verdict = suspects.verdict("new", now, ("part",))
+        assert verdict is quarantine.Verdict.REFUSE
+    is_trier = True
+    tried_at = []
+    for now in times:
+        verdict = suspects.verdict("new", now, ("part",))
+        if verdict is quarantine.Verdict.ALONE:
+            tried_at.append(now)
+            suspects.begin_run(("new", "part"), now)
+            # A failed trial is not repeated at once.
+            again = suspects.verdict("new", now, ("part",))
+            assert again is quarantine.Verdict.REFUSE
+    assert tried_at == [43.0, 400.0]
+
+
+def test_a_trial_that_completes_releases_a_part():
+    suspects = _quarantine(*_crashes(*[("part",)] * 3))
+    suspects.may_try = lambda suspect: True
+    suspects.begin_run(("new", "part"), 43.0)
+    suspects.complete("part", 44.0)
+    assert suspects.verdict("n", 45.0, ("part",)) is quarantine.Verdict.RUN
+
+
 def test_parts_of_accounts_and_whole_requests_have_different_fingerprints():
     prints = {
         quarantine.fingerprint("a", b"x"),
