Soak: requests that share a crashing part, and an engine with a limit

Callers of the soak now send, before and during the rolling restart, equal requests that crash engines in turn with others that share only a part of their prompt; an engine of the plain service names a limit of 2 a second. The checks and bounds are the platform's; that of equal requests is unchanged. The check of limits is shared with test_engine_limits.

--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -8,10 +8,11 @@
 the requests that engines run are checked against what the entry guarantees.
 
 Faults start one after another and may overlap. After all of them have ended,
-callers begin to send a request that crashes engines, again and again, and the
-instances are restarted one at a time. This rolling restart must not cut off a
-request that an engine runs, most requests must be served during it, and the
-crashing request must stay refused.
+callers begin to send a request that crashes engines, again and again, and
+others that share a crashing part, one engine names a limit, and the instances
+are restarted one at a time. This rolling restart must not cut off a request
+that an engine runs, most requests must be served during it, what crashes
+engines must stay refused, and the limit must hold.
 """
 
 import asyncio
@@ -34,7 +35,13 @@
 from tamarackpier.platform import edge, wire
 from tamarackpier.routing import model as routing_model
 from tamarackpier.standin import hosted_platform, link
-from tests import hosted_fixtures, ports, process_faults, process_fixtures
+from tests import (
+    hosted_fixtures,
+    limit_checks,
+    ports,
+    process_faults,
+    process_fixtures,
+)
 
 START_TIMEOUT_S = 20.0
 SETTLE_S = 5.0
@@ -49,10 +56,13 @@
 # Share of the requests during the rolling restart that must be served.
 MIN_SERVED_SHARE = 0.8
 CRASHING_BODY = b'{"prompt": "crashes engines"}'
-CRASHING_PERIOD_S = 0.4  # Time between two sends of the crashing request.
-# Bounds that the platform states: the crash after which the request is known,
-# the time until all instances know it, and the attempts accepted after that.
-MAX_CRASHES = 3
+CRASHING_PART = "91bd3f06"
+CRASHING_PERIOD_S = 0.4  # Time between two sends of crashing requests.
+LIMITED_RATE = 2.0  # Limit of an engine of the plain service, a second.
+# Bounds that the platform states: the crash after which the request or the part
+# is known, the time until all instances know it, and the attempts accepted
+# after that.
+MAX_CRASHES = {"crashing": 3, "sharing": 5}
 KNOWN_AFTER_S = 3.0
 MAX_LATE_ATTEMPTS = 3
 # Statuses with which the entry states that it did not run the request.
@@ -71,7 +81,7 @@
             "draft 200".
         faults: Number of injected faults by name.
         restarts: Number of processes started again after their exit.
-        crashes: Number of engines crashed by the crashing request.
+        crashes: Number of engines crashed by requests.
         stalls: Monotonic times, in seconds, at which this process stalled,
             and with it the platform stand-in and all engines.
     """
@@ -183,8 +193,9 @@
                     asyncio.ensure_future(self._watch_versions())
                 )
                 await self._inject_faults(seconds)
+                self.limit_an_engine()
                 background_tasks.append(
-                    asyncio.ensure_future(self._send_crashing_request())
+                    asyncio.ensure_future(self._send_crashing_requests())
                 )
                 await asyncio.sleep(KNOWN_AFTER_S + SETTLE_S)
                 await self._restart_one_at_a_time()
@@ -193,6 +204,7 @@
                 await self.stop(background_tasks)
         self.check_executions()
         self.check_crashes()
+        self.report.violations += limit_checks.excesses(self.platform)
         return self.report
 
     async def add_engine(self, service, domain):
@@ -253,18 +265,36 @@
         self.platform.delayed_order_share = 0.0
         await asyncio.sleep(SETTLE_S)
 
-    async def _send_crashing_request(self):
-        """Sends a request that crashes engines to all instances in turn."""
+    def limit_an_engine(self):
+        """Makes an engine of the plain service name a limit."""
+        name = next(
+            name
+            for name, engine in self.platform.fabric.engines.items()
+            if engine.record.service == "orders"
+        )
+        self.platform.request_rates[name] = LIMITED_RATE
+
+    async def _send_crashing_requests(self):
+        """Sends requests that crash engines to all instances in turn.
+
+        Equal ones take turns with ones that share only a part of their prompt.
+        """
         self.platform.crashing_bodies[CRASHING_BODY] = 2
+        self.platform.crashing_parts[CRASHING_PART] = 2
         for number in itertools.count():
-            entry = self.entries[number % len(self.entries)]
+            entry = self.entries[number // 2 % len(self.entries)]
+            kind, body = "crashing", CRASHING_BODY
+            parts = f"common:40,{number}:60"
+            if number % 2:
+                kind, body = "sharing", b"%d" % number
+                parts = f"common:40,{CRASHING_PART}:40,{number}:20"
+            headers = process_fixtures.headers(f"{self.seed:x}-{kind}{number}")
+            headers[wire.Header.PROMPT_PARTS] = parts
             with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                 async with self.client.post(
                     f"http://{entry.caller_address}/draft/crashing",
-                    headers=process_fixtures.headers(
-                        f"{self.seed:x}-crashing{number}"
-                    ),
-                    data=CRASHING_BODY,
+                    headers=headers,
+                    data=body,
                     timeout=aiohttp.ClientTimeout(
                         total=process_fixtures.REQUEST_TIMEOUT_S
                     ),
@@ -273,18 +303,23 @@
             await asyncio.sleep(CRASHING_PERIOD_S)
 
     def check_crashes(self):
-        """Adds a violation if the crashing request ran too often."""
-        crash_times = [at for at, _ in self.platform.crashes]
-        self.report.crashes = len(crash_times)
-        if len(crash_times) < MAX_CRASHES:
-            return
-        known_at = crash_times[MAX_CRASHES - 1] + KNOWN_AFTER_S
-        late_count = sum(at > known_at for at in crash_times)
-        if late_count > MAX_LATE_ATTEMPTS:
-            self.add_violation(
-                f"the crashing request ran {late_count} times after its first"
-                f" {MAX_CRASHES} crashes were known"
-            )
+        """Adds a violation if crashing requests ran too often."""
+        self.report.crashes = len(self.platform.crashes)
+        for kind, max_crashes in MAX_CRASHES.items():
+            crash_times = [
+                at
+                for at, request_id in self.platform.crashes
+                if f"-{kind}" in request_id
+            ]
+            if len(crash_times) < max_crashes:
+                continue
+            known_at = crash_times[max_crashes - 1] + KNOWN_AFTER_S
+            late_count = sum(at > known_at for at in crash_times)
+            if late_count > MAX_LATE_ATTEMPTS:
+                self.add_violation(
+                    f"{kind} requests ran {late_count} times after their first"
+                    f" {max_crashes} crashes were known"
+                )
 
     async def _restart_one_at_a_time(self):
         """Performs the rolling restart and checks what callers get in it.
@@ -625,7 +660,7 @@
         click.echo(
             f"seed {run_seed}: {len(report.violations)} violations, "
             f"{report.restarts} restarts, {len(report.stalls)} stalls, "
-            f"{report.crashes} crashes by the crashing request, "
+            f"{report.crashes} crashes by requests, "
             f"{dict(report.outcomes)}, {dict(report.faults)}"
         )
         for violation in report.violations:
--- a/tests/test_engine_limits.py
+++ b/tests/test_engine_limits.py
@@ -10,15 +10,8 @@
 
 from tamarackpier import codes
 from tamarackpier.platform import wire
-from tests import deployment_fixtures
-
-# The platform's bound: from some time after an engine first named its limit,
-# it gets in each window at most so many times what the limit allows, and some
-# requests more.
-KNOWN_AFTER_S = 3.0
-WINDOW_S = 4.0
-ALLOWED_FACTOR = 1.5
-ALLOWED_EXTRA = 5
+from tests import deployment_fixtures, limit_checks
+
 # Longest time in which a request that fits nowhere is refused.
 AT_ONCE_S = 0.3
 PATH = "/draft/1"
@@ -89,18 +82,7 @@
 def _check_arrivals(platform):
     """Checks the bound for each engine that had a limit."""
     assert platform.limited_arrivals
-    for name, times in platform.limited_arrivals.items():
-        rate = platform.request_rates[name]
-        allowed = ALLOWED_FACTOR * rate * WINDOW_S + ALLOWED_EXTRA
-        counted = [at for at in times if at >= times[0] + KNOWN_AFTER_S]
-        most = max(
-            (
-                sum(start <= at < start + WINDOW_S for at in counted)
-                for start in counted
-            ),
-            default=0,
-        )
-        assert most <= allowed, f"{name}: {most} requests, {allowed} allowed"
+    assert not limit_checks.excesses(platform)
 
 
 def test_a_limit_holds_for_the_sum_over_all_instances():
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -51,11 +51,18 @@
     soak.platform.breaches.append("served without a member")
     soak.entries.clear()
     soak.check_executions()
-    soak.platform.crashes += [(float(number), "c") for number in range(12)]
+    soak.platform.crashes += [
+        (float(number), f"1-{kind}{number}")
+        for number in range(12)
+        for kind in ("crashing", "sharing")
+    ]
     soak.check_crashes()
     soak.report.violations.sort()
     assert soak.report.violations.pop() == (
-        "the crashing request ran 6 times after its first 3 crashes were known"
+        "sharing requests ran 4 times after their first 5 crashes were known"
+    )
+    assert soak.report.violations.pop(0) == (
+        "crashing requests ran 6 times after their first 3 crashes were known"
     )
     assert soak.report.violations == [
         "order a ran at ['e1', 'e2']",
