Keep the deaths that decide a verdict in messages and in the store

The instance that let it run had just started. Its peers sent it the four oldest deaths of each suspect, and the row in the store had the four of its first write; all four had another suspect that explains them. The two that nothing else explains were left out.

Change: messages carry first the deaths that nothing else explains, and a row is written again when deaths follow. A suspect that is dropped while the store is written no longer ends the update.

Measured: test_a_message_carries_the_deaths_that_decide_the_verdict and test_the_store_gets_deaths_that_follow fail before and pass after.

--- a/tamarackpier/daemon/quarantine_store.py
+++ b/tamarackpier/daemon/quarantine_store.py
@@ -31,7 +31,8 @@
         metrics: Counters of this instance.
         clock: Returns the monotonic time, in seconds.
         wall_clock: Returns the Unix time, in seconds.
-        stored: Fingerprints of the suspects that are in the store.
+        stored: Number of deaths in the row of each suspect that is in the
+            store, by fingerprint.
         is_loaded: Whether the store has been read.
     """
 
@@ -48,7 +49,7 @@
         self.metrics = counts
         self.clock = clock
         self.wall_clock = wall_clock
-        self.stored: set[str] = set()
+        self.stored: dict[str, int] = {}
         self.is_loaded = False
         self._next_call_at = float("-inf")
 
@@ -61,10 +62,18 @@
         if not self.is_loaded:
             self.is_loaded = await self._load()
         suspects = set(self.quarantine.lasting_suspects(now))
-        for fingerprint in suspects - self.stored:
-            if len(self.stored) < _MAX_ROWS:
+        for fingerprint in suspects:
+            count = len(self.quarantine.crashes.get(fingerprint, ()))
+            if not count:
+                continue  # It was dropped while another row was written.
+            has_row = fingerprint in self.stored
+            if (
+                has_row
+                and self.stored[fingerprint] < count
+                or (not has_row and len(self.stored) < _MAX_ROWS)
+            ):
                 await self._write(fingerprint, self._value(fingerprint))
-        for fingerprint in self.stored - suspects:
+        for fingerprint in set(self.stored) - suspects:
             verdict = self.quarantine.verdict(fingerprint, now)
             if verdict is quarantine_lib.Verdict.RUN:
                 await self._write(fingerprint, None)
@@ -93,7 +102,7 @@
             if isinstance(at, int | float)
         ]
         self.quarantine.add(crashes)
-        self.stored.add(fingerprint)
+        self.stored[fingerprint] = len(crashes)
         logs.event(
             "quarantine loaded", fingerprint=fingerprint, deaths=len(crashes)
         )
@@ -117,10 +126,10 @@
         if not pipeline.is_successful(write_result):
             self._record_failure(write_result.failure().code.name)
         elif value is not None:
-            self.stored.add(fingerprint)
+            self.stored[fingerprint] = len(value[_DEATHS_FIELD])
             logs.event("quarantined", fingerprint=fingerprint, **value)
         else:
-            self.stored.discard(fingerprint)
+            self.stored.pop(fingerprint, None)
             logs.event("released", fingerprint=fingerprint)
 
     def _record_failure(self, reason: str) -> None:
--- a/tamarackpier/quarantine.py
+++ b/tamarackpier/quarantine.py
@@ -382,7 +382,7 @@
         repeated = [
             Crash(suspect, death, at)
             for suspect in self._repeated_to_send(now)
-            for death, at in self._oldest_deaths(suspect, now)
+            for death, at in self._deaths_to_send(suspect, now)
         ]
         new = [
             Crash(suspect, death, at)
@@ -466,18 +466,21 @@
             key=lambda suspect: self.new_crashes[suspect],
         )
 
-    def _oldest_deaths(
+    def _deaths_to_send(
         self, suspect: str, now: float
     ) -> list[tuple[str, float]]:
-        """Returns the counted deaths, with their times, for a message."""
-        deaths = self.crashes[suspect]
+        """Returns counted deaths of a suspect, with their times.
+
+        Those that other suspects don't explain come first: without them, the
+        receiver's verdict would be more lenient.
+        """
+        deaths = self.counted_deaths(suspect, now)
+        unexplained = self._unexplained_deaths(deaths, {suspect}, now)
+        times = self.crashes[suspect]
         return heapq.nsmallest(
             _MAX_DEATHS_SENT,
-            (
-                (death, deaths[death])
-                for death in self.counted_deaths(suspect, now)
-            ),
-            key=lambda death: (death[1], death[0]),
+            ((death, times[death]) for death in deaths),
+            key=lambda death: (death[0] not in unexplained, death[1], death[0]),
         )
 
     def _suspicion(self, request_fingerprint: str) -> tuple[int, float]:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -202,6 +202,43 @@
     assert suspects.verdict("n", 45.0, ("part",)) is quarantine.Verdict.RUN
 
 
+def _part_beside_a_request():
+    """Returns a quarantine with a bad request and a bad part that share one."""
+    deaths = [("whole", "all")] * 4 + [("a", "all", "bad"), ("b", "all", "bad")]
+    return _quarantine(*_crashes(*deaths))
+
+
+def test_a_message_carries_the_deaths_that_decide_the_verdict():
+    source, target = _part_beside_a_request(), _quarantine()
+    message = entry_pb2.EntryStatus()
+    # Later than new crashes are sent.
+    crash_codec.add_crashes(source, message, 30.0)
+    crash_codec.merge_crashes(target, message, 30.0)
+    for suspects in (source, target):
+        verdict = suspects.verdict("new", 35.0, ("all", "bad"))
+        assert verdict is quarantine.Verdict.REFUSE
+
+
+def test_the_store_gets_deaths_that_follow():
+    async def check():
+        table = memory.MemoryTable()
+        suspects = _quarantine(*_crashes(*[("whole", "all")] * 4))
+        store = _store(table, suspects)
+        await store.update()
+        suspects.add(
+            quarantine.Crash(suspect, death, 90.0)
+            for death in ("e1", "e2")
+            for suspect in ("all", "bad")
+        )
+        await store.update()
+        restarted = _quarantine()
+        await _store(table, restarted).update()
+        verdict = restarted.verdict("new", 101.0, ("all", "bad"))
+        assert verdict is quarantine.Verdict.REFUSE
+
+    asyncio.run(check())
+
+
 def test_parts_of_accounts_and_whole_requests_have_different_fingerprints():
     prints = {
         quarantine.fingerprint("a", b"x"),
@@ -405,7 +442,7 @@
         while not store.is_loaded:
             await store.update()
         await store.update()
-        assert store.stored == {"bad"}
+        assert set(store.stored) == {"bad"}
 
     asyncio.run(check())
 
