Do not repeat a suspect that ran apart and may have ended its upstream

One such run is enough to decide.

Measured: test_a_suspect_that_ran_apart_and_broke_off_is_not_repeated fails before (two attempts) and passes after (one).

--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -596,6 +596,10 @@
         except run_lib.RefusedError:
             self.metrics.count("not_repeated", "crash_suspect")
             return False
+        if run.is_isolated and run.may_have_run:
+            # Whether it has ended its upstream is not known yet.
+            self.metrics.count("not_repeated", "crash_suspect")
+            return False
         if len(run.tried) >= _MAX_SENDS:
             self.metrics.count("not_repeated", "most_sends")
             return False
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,7 +8,7 @@
 
 from returns import pipeline
 
-from tamarackpier import codes, metrics
+from tamarackpier import codes, metrics, quarantine
 from tamarackpier.daemon import probing
 from tamarackpier.fleet import fleet_view
 from tamarackpier.fleet import model as fleet_model
@@ -1098,3 +1098,33 @@
                 assert (caller.data, caller.is_complete) == (b"done", True)
 
     _run(check)
+
+
+def test_a_suspect_that_ran_apart_and_broke_off_is_not_repeated():
+    async def lose(arrival):
+        arrival.reset()
+
+    async def check():
+        for path, counts in (("/draft/1", (1, 2)), ("/status/1", (1, 2))):
+            for is_suspect, count in zip((True, False), counts, strict=True):
+                async with (
+                    rough_engine.serve_script(lose) as (address, arrivals),
+                    _relay(
+                        [
+                            *_replica("r1", address),
+                            *_replica("r2", address),
+                            _plain("o1", address),
+                            _plain("o2", address),
+                        ]
+                    ) as request_relay,
+                ):
+                    verdict = quarantine.Verdict.RUN
+                    if is_suspect:
+                        verdict = quarantine.Verdict.ALONE
+                    request_relay.quarantine.verdict = (
+                        lambda *args, verdict=verdict: verdict
+                    )
+                    await request_relay.handle(_request(path), _Caller())
+                assert len(arrivals) == count
+
+    _run(check)
