Tests of the status exchange: limits in fleets and in any message

It has them now; the checks are as before. New: limits and their ends reach 69 instances within 3 s, and any well-formed message with limits (also infinite or negative ones) is accepted.

--- a/tests/exchange_fixtures.py
+++ b/tests/exchange_fixtures.py
@@ -8,7 +8,7 @@
 from tamarackpier.fleet import fleet_view
 from tamarackpier.peer import partners
 from tamarackpier.peer import roster as roster_lib
-from tamarackpier.traffic import load
+from tamarackpier.traffic import load, rate_limits
 from tamarackpier.wire import entry_pb2
 from tests import hosted_fixtures
 
@@ -40,6 +40,7 @@
             replica_loads=load.Loads(),
             engine_loads=load.Loads(),
             quarantine=quarantine.Quarantine(3, 1000.0),
+            limits=rate_limits.UpstreamLimits(),
         )
         self.suspended = []
         self.roster = roster_lib.Roster(presence(index))
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -22,7 +22,7 @@
 from tamarackpier.peer import partners, zone_claims
 from tamarackpier.peer import roster as roster_lib
 from tamarackpier.platform import interfaces
-from tamarackpier.traffic import load
+from tamarackpier.traffic import load, rate_limits
 from tamarackpier.wire import entry_pb2, entry_pb2_grpc
 from tests import exchange_fixtures
 
@@ -63,6 +63,19 @@
     )
 
 
+def test_limits_and_their_ends_are_known_to_all_of_a_fleet():
+    fleet = exchange_fixtures.Fleet(69)
+    fleet.run(12)
+    nodes = list(fleet.nodes.values())
+    engine = nodes[0].fleet.engines["r1-0"]
+    for number, rate in ((7, 2.5), (60, None)):
+        nodes[number].relay.limits.record(
+            rate_limits.Limit(engine.id, engine.incarnation, rate, fleet.now)
+        )
+        fleet.run(int(KNOWN_AFTER_S / exchange_fixtures.ROUND_S))
+        assert {node.relay.limits.rate(engine) for node in nodes} == {rate}
+
+
 def test_crashes_found_by_different_instances_are_known_to_all_of_a_fleet():
     fleet = exchange_fixtures.Fleet(69)
     fleet.run(12)
@@ -243,6 +256,13 @@
     left_ms=NUMBER,
     silent=strategies.lists(TEXT, max_size=3),
 )
+LIMIT = strategies.builds(
+    entry_pb2.RateLimit,
+    engine=TEXT | strategies.just("r1-0"),
+    incarnation=strategies.integers(0, 2),
+    rate=strategies.none() | strategies.floats(),
+    age_ms=NUMBER,
+)
 STATUS = strategies.builds(
     entry_pb2.EntryStatus,
     sender=PRESENCE,
@@ -250,6 +270,7 @@
     states=strategies.lists(STATE, max_size=3),
     suspended=strategies.lists(SUSPENDED, max_size=2),
     observed=strategies.lists(OBSERVED, max_size=2),
+    limits=strategies.lists(LIMIT, max_size=3),
 )
 
 
