--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -143,6 +143,13 @@
     assert suspects.verdict("n", 30.0, ("sound",)) is quarantine.Verdict.RUN
 
 
+def test_bad_parts_with_two_deaths_each_do_not_incriminate_a_shared_part():
+    deaths = [("all", "bad")] * 2 + [("all", "worse")] * 2
+    suspects = _quarantine(*_crashes(*deaths))
+    verdict = suspects.verdict("n", 30.0, ("all",))
+    assert verdict is not quarantine.Verdict.REFUSE
+
+
 def test_requests_do_not_excuse_a_part_that_all_of_them_contain():
     deaths = [(name, "bad") for name in "abcd" for _ in range(3)]
     suspects = _quarantine(*_crashes(*deaths))
