--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,122 +1,22 @@
 """Tests of the relay with misbehaving engines on the loopback interface."""
 
 import asyncio
-import contextlib
 import dataclasses
 import random
 import time
 
 from returns import pipeline
 
-from tamarackpier import codes, metrics, quarantine
+from tamarackpier import codes, quarantine
 from tamarackpier.daemon import probing
-from tamarackpier.fleet import fleet_view
 from tamarackpier.fleet import model as fleet_model
 from tamarackpier.platform import engines, wire
 from tamarackpier.routing import model as routing_model
 from tamarackpier.routing import table
 from tamarackpier.standin import rough_engine
-from tamarackpier.traffic import factory, model, relay, stream_attempts
 from tamarackpier.traffic import run as run_lib
-from tests import endless, hosted_fixtures
-
-
-class _Caller:
-    """A caller that records the answer it gets."""
-
-    def __init__(self, body=b"{}"):
-        self.request_body = body
-        self.is_started = False
-        self.is_complete = False
-        self.status = 0
-        self.headers = ()
-        self.data = b""
-
-    async def body(self, max_bytes, timeout_s):
-        return self.request_body
-
-    async def start(self, status, headers):
-        self.is_started = True
-        self.status = status
-        self.headers = headers
-
-    async def write(self, data):
-        self.data += data
-
-    async def end(self):
-        self.is_complete = True
-
-
-def _request(path="/draft/1", method="POST", deadline_s=5.0, **changes):
-    now = time.monotonic()
-    values = {
-        "id": "req-1",
-        "method": method,
-        "host": "a.example",
-        "path": path,
-        "target": path.encode() + b"?x=%2f",
-        "headers": ((b"x-other", b"kept"),),
-        "key": "key-1",
-        "arrived_at": now,
-        "deadline": now + deadline_s,
-        "model": "large",
-        "prompt_tokens": 100,
-        "answer_tokens": 50,
-        "last_event_id": "",
-    }
-    return model.Request(**(values | changes))
-
-
-ROUTES = (
-    hosted_fixtures.route(),
-    hosted_fixtures.route(
-        prefix="/order/",
-        kind=routing_model.RouteKind.ONCE,
-        choices=(routing_model.ServiceChoice("orders", 1.0),),
-        timeout_s=0.8,
-        max_attempts=1,
-    ),
-    hosted_fixtures.route(
-        prefix="/status/",
-        kind=routing_model.RouteKind.IDEMPOTENT,
-        choices=(routing_model.ServiceChoice("orders", 1.0),),
-        timeout_s=0.8,
-        objective_s=0.1,
-    ),
-)
-
-
-def _replica(name, address):
-    records = hosted_fixtures.replica_records(name)
-    return [dataclasses.replace(record, address=address) for record in records]
-
-
-def _plain(name, address):
-    return hosted_fixtures.record(
-        name, service="orders", address=address, domain="", slots=6
-    )
-
-
-@contextlib.asynccontextmanager
-async def _relay(records):
-    fleet = fleet_view.FleetView()
-    async with engines.create_session() as session:
-        gateway = engines.HttpGateway(session)
-        request_relay = factory.create_relay(
-            relay.RelaySettings("zone-a", 0.2, 100.0, 10.0),
-            fleet,
-            gateway,
-            metrics.Metrics(),
-            random.Random(1),
-            time.monotonic,
-        )
-        request_relay.invariants.strict = True
-        request_relay.started_at -= 60.0
-        request_relay.apply_configuration(
-            table.create_routing(hosted_fixtures.configuration(routes=ROUTES))
-        )
-        fleet.replace(records, 0.0)
-        yield request_relay
+from tamarackpier.traffic import stream_attempts
+from tests import endless, hosted_fixtures, relay_fixtures
 
 
 def _run(check):
@@ -135,10 +35,12 @@
     async def check():
         async with (
             rough_engine.serve_script(_answer_ok) as (address, arrivals),
-            _relay([_plain("o1", address)]) as request_relay,
+            relay_fixtures.serve_relay(
+                [relay_fixtures.plain_engine("o1", address)]
+            ) as request_relay,
         ):
-            caller = _Caller(b"order")
-            request = _request("/order/a%20b")
+            caller = relay_fixtures.RecordingCaller(b"order")
+            request = relay_fixtures.request("/order/a%20b")
             outcome = await request_relay.handle(request, caller)
             assert pipeline.is_successful(outcome)
         arrival = arrivals[0]
@@ -165,10 +67,14 @@
 
     async def check():
         async with rough_engine.serve_script(lose) as (address, arrivals):
-            records = [_plain(f"o{index}", address) for index in range(3)]
-            async with _relay(records) as request_relay:
+            records = [
+                relay_fixtures.plain_engine(f"o{index}", address)
+                for index in range(3)
+            ]
+            async with relay_fixtures.serve_relay(records) as request_relay:
                 outcome = await request_relay.handle(
-                    _request("/order/1"), _Caller()
+                    relay_fixtures.request("/order/1"),
+                    relay_fixtures.RecordingCaller(),
                 )
         assert _fault_code(outcome) is codes.OUTCOME_UNKNOWN
         assert len(arrivals) == 1
@@ -199,11 +105,14 @@
             recorded,
         ):
             arrivals = recorded
-            records = [_plain(f"o{index}", address) for index in range(3)]
-            async with _relay(records) as request_relay:
-                caller = _Caller()
+            records = [
+                relay_fixtures.plain_engine(f"o{index}", address)
+                for index in range(3)
+            ]
+            async with relay_fixtures.serve_relay(records) as request_relay:
+                caller = relay_fixtures.RecordingCaller()
                 outcome = await request_relay.handle(
-                    _request("/order/1"), caller
+                    relay_fixtures.request("/order/1"), caller
                 )
         assert pipeline.is_successful(outcome)
         assert caller.status == 200
@@ -222,10 +131,14 @@
     async def check():
         async with (
             rough_engine.serve_script(hang_up) as (address, arrivals),
-            _relay([_plain("o1", address)]) as request_relay,
+            relay_fixtures.serve_relay(
+                [relay_fixtures.plain_engine("o1", address)]
+            ) as request_relay,
         ):
-            request = _request("/status/1", "GET")
-            outcome = await request_relay.handle(request, _Caller(b""))
+            request = relay_fixtures.request("/status/1", "GET")
+            outcome = await request_relay.handle(
+                request, relay_fixtures.RecordingCaller(b"")
+            )
         assert not pipeline.is_successful(outcome)
         assert len(arrivals) == 1
 
@@ -244,10 +157,14 @@
     async def check():
         async with (
             rough_engine.serve_script(cut) as (address, _),
-            _relay([_plain("o1", address)]) as request_relay,
+            relay_fixtures.serve_relay(
+                [relay_fixtures.plain_engine("o1", address)]
+            ) as request_relay,
         ):
-            caller = _Caller()
-            outcome = await request_relay.handle(_request("/order/1"), caller)
+            caller = relay_fixtures.RecordingCaller()
+            outcome = await request_relay.handle(
+                relay_fixtures.request("/order/1"), caller
+            )
         assert _fault_code(outcome) is codes.OUTCOME_UNKNOWN
         assert not caller.is_started
 
@@ -264,10 +181,14 @@
     async def check():
         async with (
             rough_engine.serve_script(end) as (address, _),
-            _relay([_plain("o1", address)]) as request_relay,
+            relay_fixtures.serve_relay(
+                [relay_fixtures.plain_engine("o1", address)]
+            ) as request_relay,
         ):
-            caller = _Caller()
-            await request_relay.handle(_request("/order/1"), caller)
+            caller = relay_fixtures.RecordingCaller()
+            await request_relay.handle(
+                relay_fixtures.request("/order/1"), caller
+            )
         assert (caller.data, caller.is_complete) == (b"all", True)
 
     _run(check)
@@ -294,11 +215,13 @@
         for script in (other, unproved, garbage, short):
             async with (
                 rough_engine.serve_script(script) as (address, _),
-                _relay([_plain("o1", address)]) as request_relay,
+                relay_fixtures.serve_relay(
+                    [relay_fixtures.plain_engine("o1", address)]
+                ) as request_relay,
             ):
-                caller = _Caller()
+                caller = relay_fixtures.RecordingCaller()
                 outcome = await request_relay.handle(
-                    _request("/order/1"), caller
+                    relay_fixtures.request("/order/1"), caller
                 )
             assert _fault_code(outcome) is codes.OUTCOME_UNKNOWN, script
             assert not caller.is_started
@@ -315,13 +238,16 @@
             rough_engine.serve_script(slow) as (slow_address, slow_arrivals),
             rough_engine.serve_script(_answer_ok) as (address, _),
         ):
-            records = [_plain("o1", slow_address), _plain("o2", address)]
-            async with _relay(records) as request_relay:
+            records = [
+                relay_fixtures.plain_engine("o1", slow_address),
+                relay_fixtures.plain_engine("o2", address),
+            ]
+            async with relay_fixtures.serve_relay(records) as request_relay:
                 for _ in range(4):
-                    caller = _Caller(b"")
+                    caller = relay_fixtures.RecordingCaller(b"")
                     started_at = time.monotonic()
                     await request_relay.handle(
-                        _request("/status/1", "GET"), caller
+                        relay_fixtures.request("/status/1", "GET"), caller
                     )
                     assert caller.status == 200
                     assert time.monotonic() - started_at < 0.7
@@ -330,17 +256,6 @@
     _run(check)
 
 
-def _events(first, last):
-    return b"".join(
-        b"id: %d\ndata: e%d\n\n" % (number, number)
-        for number in range(first, last + 1)
-    )
-
-
-def _chunk(data):
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 def _three_events_then_reset(partial_event=b""):
     """Returns a script that sends three events and resets the connection.
 
@@ -351,9 +266,11 @@
     async def script(arrival):
         head = endless.STREAM_HEAD.format(id="req-1")
         head += "Transfer-Encoding: chunked\r\n\r\n"
-        await arrival.write(head.encode() + _chunk(_events(1, 3)))
+        await arrival.write(
+            head.encode() + relay_fixtures.chunk(relay_fixtures.events(1, 3))
+        )
         if partial_event:
-            await arrival.write(_chunk(partial_event))
+            await arrival.write(relay_fixtures.chunk(partial_event))
         await asyncio.sleep(0.05)
         arrival.reset()
 
@@ -367,7 +284,11 @@
         begin = int(arrival.header(wire.Header.LAST_EVENT_ID) or 0) + 1
         head = endless.STREAM_HEAD.format(id="req-1")
         head += "Transfer-Encoding: chunked\r\n\r\n"
-        data = head.encode() + _chunk(_events(begin, 6)) + b"0\r\n\r\n"
+        data = (
+            head.encode()
+            + relay_fixtures.chunk(relay_fixtures.events(begin, 6))
+            + b"0\r\n\r\n"
+        )
         await arrival.write(data)
 
     async def check():
@@ -376,15 +297,17 @@
             rough_engine.serve_script(second) as (second_address, _),
         ):
             for seed in range(3):
-                records = _replica("r1", first_address) + _replica(
-                    "r2", second_address
-                )
-                async with _relay(records) as request_relay:
+                records = relay_fixtures.replica(
+                    "r1", first_address
+                ) + relay_fixtures.replica("r2", second_address)
+                async with relay_fixtures.serve_relay(records) as request_relay:
                     request_relay.rng = random.Random(seed)
-                    caller = _Caller()
-                    outcome = await request_relay.handle(_request(), caller)
+                    caller = relay_fixtures.RecordingCaller()
+                    outcome = await request_relay.handle(
+                        relay_fixtures.request(), caller
+                    )
                 assert pipeline.is_successful(outcome)
-                assert caller.data == _events(1, 6)
+                assert caller.data == relay_fixtures.events(1, 6)
                 assert caller.is_complete
 
     _run(check)
@@ -406,28 +329,36 @@
             await asyncio.sleep(first_event_s)
             head = endless.STREAM_HEAD.format(id="other")
             head += "Transfer-Encoding: chunked\r\n\r\n"
-            await arrival.write(head.encode() + _chunk(_events(1, 1)))
+            await arrival.write(
+                head.encode()
+                + relay_fixtures.chunk(relay_fixtures.events(1, 1))
+            )
         await asyncio.sleep(30)
 
     async with rough_engine.serve_script(work) as (address, arrivals):
         records = [
             record
             for name in ("r1", "r2", "r3")
-            for record in _replica(name, address)
+            for record in relay_fixtures.replica(name, address)
         ]
-        async with _relay(records) as request_relay:
+        async with relay_fixtures.serve_relay(records) as request_relay:
             other_tasks = []
             if first_event_s is not None:
                 other_tasks = [
                     asyncio.ensure_future(
-                        request_relay.handle(_request(id="other"), _Caller())
+                        request_relay.handle(
+                            relay_fixtures.request(id="other"),
+                            relay_fixtures.RecordingCaller(),
+                        )
                     )
                     for _ in range(3)
                 ]
             await asyncio.sleep(wait_s)
             other_count = len(arrivals)
             task = asyncio.ensure_future(
-                request_relay.handle(_request(), _Caller())
+                request_relay.handle(
+                    relay_fixtures.request(), relay_fixtures.RecordingCaller()
+                )
             )
             for count in range(1, 4):
                 while len(arrivals) - other_count < count and not task.done():
@@ -472,15 +403,19 @@
     async def check():
         routes = (hosted_fixtures.route(is_resumable=False),)
         async with rough_engine.serve_script(cut) as (address, arrivals):
-            records = _replica("r1", address) + _replica("r2", address)
-            async with _relay(records) as request_relay:
+            records = relay_fixtures.replica(
+                "r1", address
+            ) + relay_fixtures.replica("r2", address)
+            async with relay_fixtures.serve_relay(records) as request_relay:
                 request_relay.apply_configuration(
                     table.create_routing(
                         hosted_fixtures.configuration(2, routes)
                     )
                 )
-                caller = _Caller()
-                outcome = await request_relay.handle(_request(), caller)
+                caller = relay_fixtures.RecordingCaller()
+                outcome = await request_relay.handle(
+                    relay_fixtures.request(), caller
+                )
         assert _fault_code(outcome) is codes.STREAM_INCOMPLETE
         assert caller.is_started
         assert not caller.is_complete
@@ -495,7 +430,9 @@
             await asyncio.sleep(5)
         head = endless.STREAM_HEAD.format(id="req-1")
         head += "Transfer-Encoding: chunked\r\n\r\n"
-        await arrival.write(head.encode() + _chunk(_events(1, 2)))
+        await arrival.write(
+            head.encode() + relay_fixtures.chunk(relay_fixtures.events(1, 2))
+        )
         await asyncio.sleep(5)
 
     async def good(arrival):
@@ -503,7 +440,9 @@
         head = endless.STREAM_HEAD.format(id="req-1")
         head += "Transfer-Encoding: chunked\r\n\r\n"
         await arrival.write(
-            head.encode() + _chunk(_events(begin, 4)) + b"0\r\n\r\n"
+            head.encode()
+            + relay_fixtures.chunk(relay_fixtures.events(begin, 4))
+            + b"0\r\n\r\n"
         )
 
     async def check():
@@ -511,10 +450,10 @@
             rough_engine.serve_script(stall) as (first_address, _),
             rough_engine.serve_script(good) as (second_address, _),
         ):
-            records = _replica("r1", first_address) + _replica(
-                "r2", second_address
-            )
-            async with _relay(records) as request_relay:
+            records = relay_fixtures.replica(
+                "r1", first_address
+            ) + relay_fixtures.replica("r2", second_address)
+            async with relay_fixtures.serve_relay(records) as request_relay:
                 # Makes the relay prefer the replica that stalls.
                 request_relay.replica_scores.record_success(
                     "r2", 5.0, time.monotonic()
@@ -526,15 +465,15 @@
                     request_relay.metrics,
                     time.monotonic,
                 )
-                caller = _Caller()
+                caller = relay_fixtures.RecordingCaller()
                 task = asyncio.ensure_future(
-                    request_relay.handle(_request(), caller)
+                    request_relay.handle(relay_fixtures.request(), caller)
                 )
                 while not task.done():
                     prober.probe_silent_replicas()
                     await asyncio.sleep(0.02)
         assert pipeline.is_successful(task.result())
-        assert caller.data == _events(1, 4)
+        assert caller.data == relay_fixtures.events(1, 4)
         assert caller.is_complete
         assert len(request_relay.fleet.suspended) == 1
 
@@ -552,10 +491,14 @@
     async def check():
         async with (
             rough_engine.serve_script(work) as (address, arrivals),
-            _relay(_replica("r1", address)) as request_relay,
+            relay_fixtures.serve_relay(
+                relay_fixtures.replica("r1", address)
+            ) as request_relay,
         ):
             task = asyncio.ensure_future(
-                request_relay.handle(_request(), _Caller())
+                request_relay.handle(
+                    relay_fixtures.request(), relay_fixtures.RecordingCaller()
+                )
             )
             while not arrivals:
                 await asyncio.sleep(0.01)
@@ -575,11 +518,14 @@
     async def check():
         async with (
             rough_engine.serve_script(hang) as (address, _),
-            _relay([_plain("o1", address)]) as request_relay,
+            relay_fixtures.serve_relay(
+                [relay_fixtures.plain_engine("o1", address)]
+            ) as request_relay,
         ):
             started_at = time.monotonic()
             outcome = await request_relay.handle(
-                _request("/order/1"), _Caller()
+                relay_fixtures.request("/order/1"),
+                relay_fixtures.RecordingCaller(),
             )
             took_s = time.monotonic() - started_at
         assert _fault_code(outcome) is codes.OUTCOME_UNKNOWN
@@ -590,16 +536,21 @@
 
 def test_without_engines_a_request_is_refused_with_a_retry_time():
     async def check():
-        async with _relay([]) as request_relay:
-            outcome = await request_relay.handle(_request(), _Caller())
+        async with relay_fixtures.serve_relay([]) as request_relay:
+            outcome = await request_relay.handle(
+                relay_fixtures.request(), relay_fixtures.RecordingCaller()
+            )
             plain_outcome = await request_relay.handle(
-                _request("/order/1"), _Caller()
+                relay_fixtures.request("/order/1"),
+                relay_fixtures.RecordingCaller(),
             )
             unknown_route = await request_relay.handle(
-                _request("/none/1"), _Caller()
+                relay_fixtures.request("/none/1"),
+                relay_fixtures.RecordingCaller(),
             )
             unknown_key = await request_relay.handle(
-                _request(key="other"), _Caller()
+                relay_fixtures.request(key="other"),
+                relay_fixtures.RecordingCaller(),
             )
         assert _fault_code(outcome) is codes.NO_REPLICA
         assert outcome.failure().retry_after_s > 0
@@ -619,10 +570,14 @@
     async def check():
         async with (
             rough_engine.serve_script(fail) as (address, _),
-            _relay([_plain("o1", address)]) as request_relay,
+            relay_fixtures.serve_relay(
+                [relay_fixtures.plain_engine("o1", address)]
+            ) as request_relay,
         ):
-            caller = _Caller()
-            await request_relay.handle(_request("/order/1"), caller)
+            caller = relay_fixtures.RecordingCaller()
+            await request_relay.handle(
+                relay_fixtures.request("/order/1"), caller
+            )
         names = [name for name, _ in caller.headers]
         assert (caller.status, caller.data) == (500, b"why")
         assert wire.Header.PROOF.encode() in names
@@ -636,36 +591,40 @@
     async def second(arrival):
         head = endless.STREAM_HEAD.format(id="req-1")
         head += "Transfer-Encoding: chunked\r\n\r\n"
-        data = _chunk(_events(4, 6)) + b"0\r\n\r\n"
+        data = relay_fixtures.chunk(relay_fixtures.events(4, 6)) + b"0\r\n\r\n"
         await arrival.write(head.encode() + data)
 
     async def check():
         async with (
             rough_engine.serve_script(first) as (first_address, _),
             rough_engine.serve_script(second) as (second_address, _),
-            _relay(_replica("r1", first_address)) as request_relay,
+            relay_fixtures.serve_relay(
+                relay_fixtures.replica("r1", first_address)
+            ) as request_relay,
         ):
-            caller = _Caller()
+            caller = relay_fixtures.RecordingCaller()
             task = asyncio.ensure_future(
-                request_relay.handle(_request(), caller)
+                request_relay.handle(relay_fixtures.request(), caller)
             )
             await asyncio.sleep(0.4)
             assert not task.done()
-            for record in _replica("r2", second_address):
+            for record in relay_fixtures.replica("r2", second_address):
                 request_relay.fleet.put(record)
             assert pipeline.is_successful(await task)
-        assert caller.data == _events(1, 6)
+        assert caller.data == relay_fixtures.events(1, 6)
 
     _run(check)
 
 
 def test_a_replica_formed_again_under_the_same_lead_is_a_new_upstream():
     async def check():
-        async with _relay(_replica("r1", "127.0.0.1:1")) as request_relay:
-            request = _request()
+        async with relay_fixtures.serve_relay(
+            relay_fixtures.replica("r1", "127.0.0.1:1")
+        ) as request_relay:
+            request = relay_fixtures.request()
             run = run_lib.Run(
                 request,
-                ROUTES[0],
+                relay_fixtures.ROUTES[0],
                 "drafts",
                 "",
                 1,
@@ -691,7 +650,7 @@
                         record.membership, key=fleet_model.ReplicaKey("r9", 9)
                     ),
                 )
-                for record in _replica("r1", "127.0.0.1:1")
+                for record in relay_fixtures.replica("r1", "127.0.0.1:1")
             ]
             for record in formed_again:
                 request_relay.fleet.put(record)
@@ -704,7 +663,7 @@
     async def send_stream(arrival):
         head = endless.STREAM_HEAD.format(id="req-1")
         head += "Transfer-Encoding: chunked\r\n\r\n"
-        data = _chunk(_events(1, 3)) + b"0\r\n\r\n"
+        data = relay_fixtures.chunk(relay_fixtures.events(1, 3)) + b"0\r\n\r\n"
         await arrival.write(head.encode() + data)
 
     async def check():
@@ -715,15 +674,19 @@
         )
         async with (
             rough_engine.serve_script(send_stream) as (address, _),
-            _relay([_plain("o1", address)]) as request_relay,
+            relay_fixtures.serve_relay(
+                [relay_fixtures.plain_engine("o1", address)]
+            ) as request_relay,
         ):
             request_relay.apply_configuration(
                 table.create_routing(hosted_fixtures.configuration(2, routes))
             )
-            caller = _Caller()
-            outcome = await request_relay.handle(_request(model=""), caller)
+            caller = relay_fixtures.RecordingCaller()
+            outcome = await request_relay.handle(
+                relay_fixtures.request(model=""), caller
+            )
         assert pipeline.is_successful(outcome)
-        assert caller.data == _events(1, 3)
+        assert caller.data == relay_fixtures.events(1, 3)
         assert request_relay.streams.by_key == {}
 
     _run(check)
@@ -733,7 +696,7 @@
 # longer, so that they don't end an attempt first.
 MAX_ENDLESS_S = 2.0
 PATIENT_ROUTES = tuple(
-    dataclasses.replace(route, timeout_s=8.0) for route in ROUTES
+    dataclasses.replace(route, timeout_s=8.0) for route in relay_fixtures.ROUTES
 )
 
 
@@ -744,7 +707,7 @@
         + endless.FRAMED.encode()
     )
     if begin <= 3:
-        data += _chunk(_events(begin, 3))
+        data += relay_fixtures.chunk(relay_fixtures.events(begin, 3))
     await arrival.write(data + b"0\r\n\r\n")
 
 
@@ -759,10 +722,15 @@
         rough_engine.serve_script(good) as (good_address, _),
     ):
         if path == "/draft/1":
-            records = _replica("r1", bad_address) + _replica("r2", good_address)
+            records = relay_fixtures.replica(
+                "r1", bad_address
+            ) + relay_fixtures.replica("r2", good_address)
         else:
-            records = [_plain("o1", bad_address), _plain("o2", good_address)]
-        async with _relay(records) as request_relay:
+            records = [
+                relay_fixtures.plain_engine("o1", bad_address),
+                relay_fixtures.plain_engine("o2", good_address),
+            ]
+        async with relay_fixtures.serve_relay(records) as request_relay:
             prefer(request_relay)
             request_relay.apply_configuration(
                 table.create_routing(
@@ -776,10 +744,10 @@
                 request_relay.metrics,
                 time.monotonic,
             )
-            caller = _Caller(b"")
+            caller = relay_fixtures.RecordingCaller(b"")
             started_at = time.monotonic()
             task = asyncio.ensure_future(
-                request_relay.handle(_request(path), caller)
+                request_relay.handle(relay_fixtures.request(path), caller)
             )
             while not task.done():
                 prober.probe_silent_replicas()
@@ -802,7 +770,7 @@
     async def check():
         for name, (first, following) in endless.ANSWERS.items():
             for path, good, body in (
-                ("/draft/1", _good_stream, _events(1, 3)),
+                ("/draft/1", _good_stream, relay_fixtures.events(1, 3)),
                 ("/status/1", _answer_ok, b"done"),
             ):
                 sent = []
@@ -883,7 +851,7 @@
                 await endless.send_without_end(first, following, sent)(arrival)
 
             async with rough_engine.serve_script(send) as (address, _):
-                engine = _plain("o1", address)
+                engine = relay_fixtures.plain_engine("o1", address)
                 async with engines.create_session() as session:
                     gateway = engines.HttpGateway(session)
                     report_result = await gateway.report(engine, 1.0)
@@ -916,12 +884,18 @@
     async def check():
         async with (
             rough_engine.serve_script(fail) as (address, arrivals),
-            _relay(
-                [_plain("o1", address), *_replica("r1", address)]
+            relay_fixtures.serve_relay(
+                [
+                    relay_fixtures.plain_engine("o1", address),
+                    *relay_fixtures.replica("r1", address),
+                ]
             ) as request_relay,
         ):
             for path in ("/order/1", "/status/1", "/draft/1"):
-                await request_relay.handle(_request(path), _Caller())
+                await request_relay.handle(
+                    relay_fixtures.request(path),
+                    relay_fixtures.RecordingCaller(),
+                )
         assert len(arrivals) >= 3
         assert not request_relay.quarantine.completed
 
@@ -941,13 +915,19 @@
         probed = []
         async with (
             rough_engine.serve_script(refuse) as (address, arrivals),
-            _relay(
-                [_plain("o1", address), *_replica("r1", address)]
+            relay_fixtures.serve_relay(
+                [
+                    relay_fixtures.plain_engine("o1", address),
+                    *relay_fixtures.replica("r1", address),
+                ]
             ) as request_relay,
         ):
             request_relay.on_attempt_failed = probed.append
             outcomes = [
-                await request_relay.handle(_request(path), _Caller())
+                await request_relay.handle(
+                    relay_fixtures.request(path),
+                    relay_fixtures.RecordingCaller(),
+                )
                 for path in ("/order/1", "/draft/1", "/draft/1")
             ]
         assert len(arrivals) == 2
@@ -976,11 +956,15 @@
 
     async def script(arrival):
         after = int(arrival.header(wire.Header.LAST_EVENT_ID) or 0)
-        data = _events(after + 1, 6) if after else _events(1, last) + end
+        data = (
+            relay_fixtures.events(after + 1, 6)
+            if after
+            else relay_fixtures.events(1, last) + end
+        )
         head = endless.STREAM_HEAD.format(id="req-1")
         if is_framed:
             head += "Transfer-Encoding: chunked\r\n"
-            data = _chunk(data) + b"0\r\n\r\n"
+            data = relay_fixtures.chunk(data) + b"0\r\n\r\n"
         await arrival.write(f"{head}\r\n".encode() + data)
         if resets and not after:
             await asyncio.sleep(0.05)
@@ -993,12 +977,15 @@
     """Returns the outcome, the caller and the number of attempts."""
     async with (
         rough_engine.serve_script(script) as (address, arrivals),
-        _relay(
-            _replica("r1", address) + _replica("r2", address)
+        relay_fixtures.serve_relay(
+            relay_fixtures.replica("r1", address)
+            + relay_fixtures.replica("r2", address)
         ) as request_relay,
     ):
-        caller = _Caller()
-        outcome = await request_relay.handle(_request(path), caller)
+        caller = relay_fixtures.RecordingCaller()
+        outcome = await request_relay.handle(
+            relay_fixtures.request(path), caller
+        )
     return outcome, caller, len(arrivals)
 
 
@@ -1007,7 +994,10 @@
         script = _ending_stream(6, b"", is_framed=False)
         outcome, caller, attempts = await _run_ending_stream(script)
         assert pipeline.is_successful(outcome)
-        assert (caller.data, caller.is_complete) == (_events(1, 6), True)
+        assert (caller.data, caller.is_complete) == (
+            relay_fixtures.events(1, 6),
+            True,
+        )
         assert attempts == 1
 
     _run(check)
@@ -1019,7 +1009,10 @@
             script = _ending_stream(3, end, is_framed=False, resets=True)
             outcome, caller, attempts = await _run_ending_stream(script)
             assert pipeline.is_successful(outcome)
-            assert (caller.data, caller.is_complete) == (_events(1, 6), True)
+            assert (caller.data, caller.is_complete) == (
+                relay_fixtures.events(1, 6),
+                True,
+            )
             assert attempts == 2
 
     _run(check)
@@ -1032,7 +1025,7 @@
                 script = _ending_stream(3, end, is_framed)
                 outcome, caller, attempts = await _run_ending_stream(script)
                 assert pipeline.is_successful(outcome)
-                assert caller.data == _events(1, 6)
+                assert caller.data == relay_fixtures.events(1, 6)
                 assert caller.is_complete
                 assert attempts == 2
 
@@ -1057,15 +1050,19 @@
             rough_engine.serve_script(
                 _ending_stream(3, b"id: 4\nda", is_framed=True)
             ) as (address, arrivals),
-            _relay(_replica("r1", address)) as request_relay,
+            relay_fixtures.serve_relay(
+                relay_fixtures.replica("r1", address)
+            ) as request_relay,
         ):
             request_relay.apply_configuration(
                 table.create_routing(
                     hosted_fixtures.configuration(routes=(once,))
                 )
             )
-            caller = _Caller()
-            outcome = await request_relay.handle(_request(), caller)
+            caller = relay_fixtures.RecordingCaller()
+            outcome = await request_relay.handle(
+                relay_fixtures.request(), caller
+            )
         assert _fault_code(outcome) is codes.STREAM_INCOMPLETE
         assert not caller.is_complete
         assert len(arrivals) == 1
@@ -1086,11 +1083,13 @@
 
             async with (
                 rough_engine.serve_script(script) as (address, _),
-                _relay([_plain("o1", address)]) as request_relay,
+                relay_fixtures.serve_relay(
+                    [relay_fixtures.plain_engine("o1", address)]
+                ) as request_relay,
             ):
-                caller = _Caller()
+                caller = relay_fixtures.RecordingCaller()
                 outcome = await request_relay.handle(
-                    _request("/order/1"), caller
+                    relay_fixtures.request("/order/1"), caller
                 )
             if resets:
                 assert _fault_code(outcome) is codes.OUTCOME_UNKNOWN
@@ -1109,12 +1108,12 @@
             for is_suspect, count in zip((True, False), counts, strict=True):
                 async with (
                     rough_engine.serve_script(lose) as (address, arrivals),
-                    _relay(
+                    relay_fixtures.serve_relay(
                         [
-                            *_replica("r1", address),
-                            *_replica("r2", address),
-                            _plain("o1", address),
-                            _plain("o2", address),
+                            *relay_fixtures.replica("r1", address),
+                            *relay_fixtures.replica("r2", address),
+                            relay_fixtures.plain_engine("o1", address),
+                            relay_fixtures.plain_engine("o2", address),
                         ]
                     ) as request_relay,
                 ):
@@ -1124,7 +1123,10 @@
                     request_relay.quarantine.verdict = (
                         lambda *args, verdict=verdict: verdict
                     )
-                    await request_relay.handle(_request(path), _Caller())
+                    await request_relay.handle(
+                        relay_fixtures.request(path),
+                        relay_fixtures.RecordingCaller(),
+                    )
                 assert len(arrivals) == count
 
     _run(check)
