Believe only a refusal of this request that it has not run

Callers of requests that may run once could be answered by a second engine while the first one ran them: a 503, 429, 421 or 400 that states that nothing ran was believed whatever request it named, and so was the statement in a success, since the ID was checked only in other answers. Class: a status is believed that the engine didn't prove for this request.

The ID is checked first, and the statement counts only in the four statuses with which engines refuse. Anything else has failed and may have run.

Measured: test_a_refusal_of_another_request_is_not_believed and test_a_success_that_claims_not_to_have_run_is_not_repeated failed before and pass; 112 tests of the hosted path: no other changed. The stand-in's 421 echoes the ID now, as the platform's engines do in all answers.

--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -203,7 +203,9 @@
         )
         engine_header = (wire.Header.ENGINE, self.name)
         if headers.get(wire.Header.EXPECT_ENGINE, self.name) != self.name:
-            await _send_answer(send, 421, headers=(engine_header,))
+            request_id = headers.get(wire.Header.REQUEST_ID, "")
+            id_header = (wire.Header.REQUEST_ID, request_id)
+            await _send_answer(send, 421, headers=(engine_header, id_header))
         elif scope["path"] == wire.Path.REPORT:
             report = encode.report(engine.record, self.running)
             await _send_answer(send, 200, report, (engine_header,))
--- a/tamarackpier/traffic/attempt.py
+++ b/tamarackpier/traffic/attempt.py
@@ -26,16 +26,20 @@
 LIMITED = "limited"
 # Reasons of failures in which the connection to the engine broke.
 _BROKEN_REASONS = ("no_answer", "cut_off")
+# Statuses with which engines refuse a request that they do not run.
+_REFUSAL_STATUSES = (400, 421, 429, 503)
 # Maximum size of an answer that is read to its end before it is passed on.
 _MAX_ANSWER_BYTES = 4 << 20
 
 
 def _check_answer(answer: gateway.Answer) -> str:
     """Returns why an answer is invalid; empty if it is valid."""
-    if answer.is_not_run:
-        return ""
     if not answer.matches_request:
         return "answer carries the id of another request"
+    if answer.is_not_run:
+        if answer.status in _REFUSAL_STATUSES:
+            return ""
+        return f"HTTP {answer.status} states that the request did not run"
     if answer.status < 300 and not answer.has_proof:
         return "answer lacks the header that proves an engine sent it"
     if any(name == b"content-encoding" for name, _ in answer.headers):
--- a/tamarackpier/upstream/gateway.py
+++ b/tamarackpier/upstream/gateway.py
@@ -73,7 +73,8 @@
             engine sent it.
         matches_request: Whether the answer carries the ID of the request that
             was sent.
-        is_not_run: Whether the engine states that it did not run the request.
+        is_not_run: Whether the engine states that it did not run the request;
+            which request, only `matches_request` tells.
         max_request_rate: Requests a second that the engine takes from all
             instances together; None if it names no limit.
     """
