Pass on no refusal that its engine did not prove

Statuses 408, 421, 429 and 503 promise callers that a request has not run and never will. An engine's answer with one of them was passed on as it came, also where the engine didn't state that it ran nothing, so a caller could repeat what had run. Class: a status is passed on that the engine didn't prove.

Such an answer is a failed attempt that may have run: it is repeated only where the route allows that, and ends as 502.

--- a/tamarackpier/traffic/attempt.py
+++ b/tamarackpier/traffic/attempt.py
@@ -28,6 +28,8 @@
 _BROKEN_REASONS = ("no_answer", "cut_off")
 # Statuses with which engines refuse a request that they do not run.
 _REFUSAL_STATUSES = (400, 421, 429, 503)
+# Statuses that promise callers that the request did not run and never will.
+_PROMISE_STATUSES = (408, 421, 429, 503)
 # Maximum size of an answer that is read to its end before it is passed on.
 _MAX_ANSWER_BYTES = 4 << 20
 
@@ -40,6 +42,10 @@
         if answer.status in _REFUSAL_STATUSES:
             return ""
         return f"HTTP {answer.status} states that the request did not run"
+    if answer.status in _PROMISE_STATUSES:
+        return (
+            f"HTTP {answer.status} without proof that the request did not run"
+        )
     if answer.status < 300 and not answer.has_proof:
         return "answer lacks the header that proves an engine sent it"
     if any(name == b"content-encoding" for name, _ in answer.headers):
