Take an interim status for no answer

An engine's 101 came through as a success, since the HTTP library returns it and its status is below 300. It is a failed attempt now that may have run.

Measured: test_an_interim_status_is_no_answer failed before and passes.

--- a/tamarackpier/traffic/attempt.py
+++ b/tamarackpier/traffic/attempt.py
@@ -46,6 +46,8 @@
         return (
             f"HTTP {answer.status} without proof that the request did not run"
         )
+    if answer.status < 200:
+        return f"HTTP {answer.status} is no final answer"
     if answer.status < 300 and not answer.has_proof:
         return "answer lacks the header that proves an engine sent it"
     if any(name == b"content-encoding" for name, _ in answer.headers):
