Pass on only events inside a stream

Callers found an error's text, at times its whole head, in the middle of their stream: whatever ended with a blank line was passed on as an event, in first and resumed attempts. A second answer that follows on a connection without framing looks like that too. Class: more is passed on than what the engine proved to be part of the answer.

Events of a stream have IDs; a block without one that isn't a comment ends the attempt. Events that arrived before it in the same bytes are passed on first: they were dropped before in case of a gap, although the stream resumed after them, so that they were missing.

--- a/tamarackpier/traffic/events.py
+++ b/tamarackpier/traffic/events.py
@@ -6,6 +6,8 @@
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _EVENT_ID = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
+# Blank lines and lines that start with a colon.
+_COMMENT = re.compile(rb"(?:(?::[^\r\n]*)?\r?\n)*")
 _MAX_EVENT_BYTES = 1 << 18
 # Comments and repeated events that may follow an event.
 _MAX_EXTRA_BYTES = 1 << 16
@@ -17,7 +19,7 @@
 
 
 class StreamGapError(Exception):
-    """An engine skipped an event, or sent too much that is no new event."""
+    """An engine skipped an event, or sent something else in its place."""
 
 
 class EventStream:
@@ -36,14 +38,17 @@
         self._partial = b""
         self._extra_bytes = 0
         self._is_resumed = False
+        self._error: StreamGapError | None = None
 
     def feed(self, data: bytes) -> bytes:
         """Returns the events that `data` completes, without repeated ones.
 
         Raises:
-            StreamGapError: An event is missing or too large, or too much
-                arrived since the last new one.
+            StreamGapError: The next event is missing, too large or no event,
+                or too much arrived since the last new one. If `data` completes
+                events before that, they are returned, and `check` raises.
         """
+        self.check()
         searched = max(0, len(self._partial) - _MAX_EVENT_END_BYTES)
         data = self._partial + data
         events = []
@@ -51,21 +56,28 @@
         for match in _EVENT_END.finditer(data, searched):
             event = data[start : match.end()]
             start = match.end()
-            last_id = self.last_id
-            if self._accept(event):
-                events.append(event)
-            self._extra_bytes += len(event)
-            if self.last_id != last_id:
-                self._extra_bytes = 0
-            if self._extra_bytes > _MAX_EXTRA_BYTES:
-                raise StreamGapError(
-                    f"{self._extra_bytes} bytes without a new event"
-                )
+            try:
+                if self._take(event):
+                    events.append(event)
+            except StreamGapError as error:
+                if not events:
+                    raise
+                self._error = error
+                return b"".join(events)
         self._partial = data[start:]
         if len(self._partial) > _MAX_EVENT_BYTES:
             raise StreamGapError("event exceeds the size limit without an end")
         return b"".join(events)
 
+    def check(self) -> None:
+        """Checks that what follows the events returned so far is valid.
+
+        Raises:
+            StreamGapError: It isn't.
+        """
+        if self._error is not None:
+            raise self._error
+
     def take_remainder(self) -> bytes:
         """Returns and clears what follows the answer's last complete event.
 
@@ -85,6 +97,25 @@
         self._partial = b""
         self._extra_bytes = 0
         self._is_resumed = True
+        self._error = None
+
+    def _take(self, event: bytes) -> bool:
+        """Returns whether to pass an event on; counts what is no new event.
+
+        Raises:
+            StreamGapError: An event before this one is missing, this is none,
+                or too much arrived since the last new one.
+        """
+        last_id = self.last_id
+        is_passed_on = self._accept(event)
+        self._extra_bytes += len(event)
+        if self.last_id != last_id:
+            self._extra_bytes = 0
+        if self._extra_bytes > _MAX_EXTRA_BYTES:
+            raise StreamGapError(
+                f"{self._extra_bytes} bytes without a new event"
+            )
+        return is_passed_on
 
     def _accept(self, event: bytes) -> bool:
         """Returns whether to pass an event on, and updates `last_id` if so.
@@ -92,11 +123,14 @@
         An event that was passed on before is not passed on again.
 
         Raises:
-            StreamGapError: An event before this one is missing.
+            StreamGapError: An event before this one is missing, or this is
+                none.
         """
         match = _EVENT_ID.search(event)
         if match is None:
-            return True
+            if _COMMENT.fullmatch(event):
+                return True
+            raise StreamGapError(f"{len(event)} bytes that are no event")
         event_id = match.group(1).decode("latin-1").strip()
         if event_id.isdigit() and self.last_id.isdigit():
             if int(event_id) <= int(self.last_id):
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -222,6 +222,7 @@
             if data and stream.last_id == last_id:
                 # What is no new event must not hide that the replica stalls.
                 await _write(output, answer, connection)
+                stream.check()
                 continue
             now = relay.clock()
             relay.streams.record_data(key, now)
@@ -233,6 +234,7 @@
                 slowness = (now - sent_at) / max(candidate.expected_s, 1e-3)
                 relay.replica_scores.record_success(key.replica, slowness, now)
             await _write(output, answer, connection, is_end=not data)
+            stream.check()
             if not data:
                 return True
             stream_attempt.waiting_since = relay.clock()
