Take a stream that closes before any event for broken off

An answer may come with neither a length nor chunks and end with its connection. If it closed right after its head, a stream was passed on as complete: empty in the first attempt, short in a resumed one. A close alone proves nothing; it ends a stream only after an event of the same attempt, and where it cuts one in two, the rest of the event shows that. With a length or chunks an empty answer is complete.

Measured: test_a_stream_that_ends_with_its_connection_before_any_event_is_broken and test_a_resumed_stream_that_ends_with_its_connection_at_once_is_incomplete failed before and pass.

--- a/tamarackpier/platform/engines.py
+++ b/tamarackpier/platform/engines.py
@@ -124,12 +124,12 @@
         # the connection closes tells a complete body from a truncated one.
         connection = response.connection
         protocol = connection.protocol if connection else None
-        is_framed = (
+        self.is_framed = (
             response.content_length is not None
             or "chunked" in response_headers.get("Transfer-Encoding", "")
         )
         self._connection_closed = None
-        if protocol is not None and not is_framed:
+        if protocol is not None and not self.is_framed:
             self._connection_closed = protocol.closed
 
     async def read(self) -> bytes:
--- a/tamarackpier/traffic/events.py
+++ b/tamarackpier/traffic/events.py
@@ -15,7 +15,7 @@
 
 
 class StreamCutError(Exception):
-    """An engine ended a stream inside an event."""
+    """An engine ended a stream before it was complete."""
 
 
 class StreamGapError(Exception):
@@ -38,6 +38,7 @@
         self._partial = b""
         self._extra_bytes = 0
         self._is_resumed = False
+        self._has_new_event = False
         self._error: StreamGapError | None = None
 
     def feed(self, data: bytes) -> bytes:
@@ -78,11 +79,16 @@
         if self._error is not None:
             raise self._error
 
-    def take_remainder(self) -> bytes:
+    def take_remainder(self, is_framed: bool = True) -> bytes:
         """Returns and clears what follows the answer's last complete event.
 
+        Args:
+            is_framed: Whether the answer's framing shows that it is complete;
+                if not, it ended with its connection.
+
         Raises:
-            StreamCutError: The answer ended inside an event.
+            StreamCutError: The answer ended inside an event, or without
+                framing before any new event.
         """
         remainder, self._partial = self._partial, b""
         if remainder.strip():
@@ -90,6 +96,11 @@
                 f"ended inside an event, {len(remainder)} bytes after event"
                 f" {self.last_id or 'none'}"
             )
+        if not is_framed and not self._has_new_event:
+            raise StreamCutError(
+                "ended with its connection, without an event after event"
+                f" {self.last_id or 'none'}"
+            )
         return remainder
 
     def resume(self) -> None:
@@ -97,6 +108,7 @@
         self._partial = b""
         self._extra_bytes = 0
         self._is_resumed = True
+        self._has_new_event = False
         self._error = None
 
     def _take(self, event: bytes) -> bool:
@@ -111,6 +123,7 @@
         self._extra_bytes += len(event)
         if self.last_id != last_id:
             self._extra_bytes = 0
+            self._has_new_event = True
         if self._extra_bytes > _MAX_EXTRA_BYTES:
             raise StreamGapError(
                 f"{self._extra_bytes} bytes without a new event"
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -218,7 +218,10 @@
             data = await answer.read()
             stream_attempt.has_received_data |= bool(data)
             last_id = stream.last_id
-            output = stream.feed(data) if data else stream.take_remainder()
+            if data:
+                output = stream.feed(data)
+            else:
+                output = stream.take_remainder(answer.is_framed)
             if data and stream.last_id == last_id:
                 # What is no new event must not hide that the replica stalls.
                 await _write(output, answer, connection)
--- a/tamarackpier/upstream/gateway.py
+++ b/tamarackpier/upstream/gateway.py
@@ -77,6 +77,8 @@
             which request, only `matches_request` tells.
         max_request_rate: Requests a second that the engine takes from all
             instances together; None if it names no limit.
+        is_framed: Whether the body has a length or chunks; else it ends with
+            its connection.
     """
 
     status: int
@@ -85,6 +87,7 @@
     matches_request: bool
     is_not_run: bool
     max_request_rate: float | None
+    is_framed: bool
 
     async def read(self) -> bytes:
         """Returns the next bytes of the body; empty at its end.
