Find the gap in a stream that its caller resumed

A stream is checked for a gap after the last event that was passed on, but only once this instance had resumed it. One that the caller itself had resumed could begin at a later event, so that pieces were missing.

Measured: test_a_stream_that_its_caller_resumed_lacks_no_event failed before and passes.

--- a/tamarackpier/traffic/events.py
+++ b/tamarackpier/traffic/events.py
@@ -30,14 +30,14 @@
     that is missing.
 
     Attributes:
-        last_id: ID of the last event that was passed on; empty for none.
+        last_id: ID of the last event that the caller has; empty for none.
     """
 
     def __init__(self, last_id: str = "") -> None:
         self.last_id = last_id
         self._partial = b""
         self._extra_bytes = 0
-        self._is_resumed = False
+        self._is_resumed = bool(last_id)
         self._has_new_event = False
         self._error: StreamGapError | None = None
 
