Take a service's answer that was reset for incomplete on the own face

An answer with neither a length nor chunks ends with its connection. The hosted path looked at how the connection closed; the product's own face did not, so a plain service's answer that was reset on the way reached its caller as whole. The check moves to where bodies are read, for both pipelines.

Measured: test_a_service_answer_without_length_that_is_reset_is_incomplete failed before and passes.

--- a/tamarackpier/platform/engines.py
+++ b/tamarackpier/platform/engines.py
@@ -120,17 +120,8 @@
         self.max_request_rate = decode.request_rate(
             response_headers.get(wire.Header.REQUEST_RATE)
         )
-        # For a body with neither a length nor chunks, only the way in which
-        # the connection closes tells a complete body from a truncated one.
-        connection = response.connection
-        protocol = connection.protocol if connection else None
-        self.is_framed = (
-            response.content_length is not None
-            or "chunked" in response_headers.get("Transfer-Encoding", "")
-        )
-        self._connection_closed = None
-        if protocol is not None and not self.is_framed:
-            self._connection_closed = protocol.closed
+        self.is_framed = bounded_http.is_framed(response)
+        self._connection_closed = bounded_http.unframed_end(response)
 
     async def read(self) -> bytes:
         """Returns the next bytes of the body, or no bytes at its end.
--- a/tamarackpier/upstream/bounded_http.py
+++ b/tamarackpier/upstream/bounded_http.py
@@ -11,7 +11,13 @@
 import aiohttp
 from aiohttp import client_proto
 
-__all__ = ["BoundedConnector", "EndlessAnswerError", "read_body"]
+__all__ = [
+    "BoundedConnector",
+    "EndlessAnswerError",
+    "is_framed",
+    "read_body",
+    "unframed_end",
+]
 
 # Bytes that may arrive without completing a head or extending a body. Heads and
 # the framing of a chunk are much shorter.
@@ -103,18 +109,45 @@
         )
 
 
+def is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Returns whether a body has a length or chunks."""
+    return (
+        response.content_length is not None
+        or "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    )
+
+
+def unframed_end(
+    response: aiohttp.ClientResponse,
+) -> asyncio.Future[None] | None:
+    """Returns a future that shows whether a body without framing is complete.
+
+    Only the way in which the connection closes tells that: the future raises
+    `aiohttp.ClientError` after a reset. It has to be requested before the body
+    is read. None if the body is framed, or the connection is closed already.
+    """
+    if response.connection is None or is_framed(response):
+        return None
+    protocol = response.connection.protocol
+    return protocol.closed if protocol is not None else None
+
+
 async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
     """Returns the complete body of a response.
 
     Raises:
         EndlessAnswerError: The body is larger than `max_bytes`; the connection
             is closed.
+        aiohttp.ClientError: The connection failed before the body ended.
     """
+    end = unframed_end(response)
     parts: list[bytes] = []
     size = 0
     while max(size, response.content_length or 0) <= max_bytes:
         data = await response.content.readany()
         if not data:
+            if end is not None:
+                await end
             return b"".join(parts)
         parts.append(data)
         size += len(data)
