Do not follow redirects of plain services

The HTTP library followed a 3xx of a plain service on the product's own face and sent the call, also one that may run once, to wherever the answer pointed. What a service answers is its answer, as docs/UPSTREAMS.md says.

Measured: test_a_service_call_is_not_sent_on_to_where_an_answer_redirects failed before (the loop of redirects counted as unknown) and passes.

--- a/tamarackpier/upstream/service.py
+++ b/tamarackpier/upstream/service.py
@@ -87,6 +87,7 @@
                 call.method,
                 f"{address.rstrip('/')}/{call.path}",
                 data=call.body or None,
+                allow_redirects=False,
                 headers=headers,
                 timeout=aiohttp.ClientTimeout(
                     total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
