Tell answers of earlier calls apart on kept connections of the own face

Calls of engines on the product's own face keep their connections. An engine that writes an earlier refusal once more, while a later call is under way, made that call count as not run, so that it was sent to another engine; an earlier report counted as fresh evidence, and an earlier acceptance accepted another order. Class: an answer is believed for a call that it doesn't belong to.

Each call has an ID that its answer sends back; an answer without it breaks the call off and closes the connection.

--- a/tamarackpier/standin/upstream_app.py
+++ b/tamarackpier/standin/upstream_app.py
@@ -9,6 +9,7 @@
 
 from tamarackpier.replica import model
 from tamarackpier.standin import engine, http
+from tamarackpier.upstream import engine as upstream_engine
 
 __all__ = ["PlainService", "create_app"]
 
@@ -31,7 +32,7 @@
     cluster: engine.EngineCluster, service: PlainService
 ) -> falcon.asgi.App:
     """Returns the HTTP application that serves engines and a plain service."""
-    app = falcon.asgi.App()
+    app = falcon.asgi.App(middleware=[_CallIdMiddleware()])
     engines = _EngineResource(cluster)
     app.add_route("/engines/{instance_id}/report", engines, suffix="report")
     app.add_route("/engines/{instance_id}/orders", engines, suffix="orders")
@@ -42,6 +43,17 @@
     return app
 
 
+class _CallIdMiddleware:
+    """Sends the ID of each call back in its answer."""
+
+    async def process_request(
+        self, request: falcon.asgi.Request, response: falcon.asgi.Response
+    ) -> None:
+        call_id = request.get_header(upstream_engine.CALL_ID_HEADER)
+        if call_id is not None:
+            response.set_header(upstream_engine.CALL_ID_HEADER, call_id)
+
+
 class _EngineResource:
     """The protocol of every engine in a cluster."""
 
--- a/tamarackpier/upstream/engine.py
+++ b/tamarackpier/upstream/engine.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import secrets
 from typing import Any, Protocol
 
 import aiohttp
@@ -14,6 +15,7 @@
 from tamarackpier.upstream import bounded_http
 
 __all__ = [
+    "CALL_ID_HEADER",
     "BrokenStreamError",
     "Dispatch",
     "EngineClient",
@@ -22,6 +24,8 @@
     "report_from_json",
 ]
 
+# Header with the ID of a call, which engines send back in their answer.
+CALL_ID_HEADER = "X-Call-Id"
 _OK = 200
 _CONFLICT = 409
 _TOO_MANY_REQUESTS = 429
@@ -141,6 +145,9 @@
 class HttpEngineClient(EngineClient):
     """Client for engines over HTTP.
 
+    Connections are kept, so what arrives on one may belong to an earlier call;
+    an answer counts only with the ID of the call.
+
     Attributes:
         session: HTTP session for all calls; it reuses connections.
         probe_timeout: Timeout of a request for a report and of a cancellation.
@@ -166,10 +173,15 @@
         self, address: str, instance_id: str, now: float
     ) -> result.Result[replica_model.EngineReport, codes.Fault]:
         """Asks an engine for a report of its state."""
+        call_id = _new_call_id()
         try:
             async with self.session.get(
-                f"{address}/report", timeout=self.probe_timeout
+                f"{address}/report",
+                headers={CALL_ID_HEADER: call_id},
+                allow_redirects=False,
+                timeout=self.probe_timeout,
             ) as response:
+                _check_call_id(response, call_id)
                 if response.status != _OK:
                     return failures.failure(
                         codes.UPSTREAM_UNREACHABLE, f"HTTP {response.status}"
@@ -197,12 +209,16 @@
             "model": order.model,
             "version": order.version,
         }
+        call_id = _new_call_id()
         try:
             async with self.session.post(
                 f"{order.address}/orders",
                 json=body,
+                headers={CALL_ID_HEADER: call_id},
+                allow_redirects=False,
                 timeout=self.order_timeout,
             ) as response:
+                _check_call_id(response, call_id)
                 if response.status == _OK:
                     return result.Success(None)
                 detail = await _read_detail(response)
@@ -229,10 +245,16 @@
             "after": dispatch.delivered_pieces,
             "delivered_text": dispatch.delivered_text,
         }
+        call_id = _new_call_id()
         try:
             response = await self.session.post(
-                f"{address}/generate", json=body, timeout=self.open_timeout
+                f"{address}/generate",
+                json=body,
+                headers={CALL_ID_HEADER: call_id},
+                allow_redirects=False,
+                timeout=self.open_timeout,
             )
+            _check_call_id(response, call_id)
         except aiohttp.ClientConnectorError as error:
             return failures.failure(codes.UPSTREAM_UNREACHABLE, str(error))
         except aiohttp.ConnectionTimeoutError as error:
@@ -302,6 +324,24 @@
     return result.Success(report)
 
 
+def _new_call_id() -> str:
+    return secrets.token_hex(8)
+
+
+def _check_call_id(response: aiohttp.ClientResponse, call_id: str) -> None:
+    """Checks that a response answers a call; closes its connection if not.
+
+    Raises:
+        aiohttp.ClientError: It does not.
+    """
+    answered_id = response.headers.get(CALL_ID_HEADER)
+    if answered_id != call_id:
+        response.close()
+        raise aiohttp.ClientError(
+            f"answer has the call ID {answered_id!r}, expected {call_id!r}"
+        )
+
+
 async def _refusal(
     response: aiohttp.ClientResponse,
 ) -> result.Result[EngineStream, codes.Fault]:
