Check also the refusals of engines for being true

The runtime check of refusals covered the outcome NOT_RUN. A refusal that rests on an engine's own goes to callers as 503 too and wasn't checked.

--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -81,6 +81,8 @@
     chooser: str = "soonest"
 
 
+_NOT_RUN_OUTCOMES = (codes.Outcome.NOT_RUN, codes.Outcome.REFUSED_BY_UPSTREAM)
+
 T = TypeVar("T")
 Strategy = Callable[["Relay", run_lib.Run, caller.Caller], Awaitable[None]]
 STRATEGIES: registry.Registry[Strategy] = registry.Registry("strategy")
@@ -198,7 +200,7 @@
     def _check_refusal(
         self, run: run_lib.Run | None, fault: codes.Fault
     ) -> None:
-        """Checks that a fault with outcome NOT_RUN is true.
+        """Checks that a fault that says that nothing ran is true.
 
         It may be sent only if it is proved that no engine has run the request.
         Requests that may run more than once need no proof.
@@ -207,8 +209,7 @@
             return
         self.invariants.hold(
             "refusal_is_true",
-            fault.code.outcome is not codes.Outcome.NOT_RUN
-            or not run.may_have_run,
+            fault.code.outcome not in _NOT_RUN_OUTCOMES or not run.may_have_run,
             lambda: f"{run.request.id}: {fault} after attempts at {run.tried}",
         )
 
