Reproduce a store that comes back from an older copy

The stand-in's store can be copied and restored; versions go back and are given out again, and all answers name the era.

--- a/tamarackpier/platform/wire.py
+++ b/tamarackpier/platform/wire.py
@@ -27,6 +27,8 @@
     # Requests a second that an engine takes from all instances together.
     REQUEST_RATE = "server-limit"
     RETRY_AFTER = "retry-after"
+    # Number of times that the store lost its latest changes.
+    STORE_ERA = "store-era"
     AUTHORIZATION = "authorization"
 
 
--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -23,7 +23,7 @@
 from tamarackpier.routing import model as routing_model
 from tamarackpier.standin import fabric as fabric_lib
 
-__all__ = ["HostedPlatform", "RowStoreStandin"]
+__all__ = ["HostedPlatform", "RowStoreStandin", "StoreCopy"]
 
 _TICK_S = 0.02
 _EVENT_INTERVAL_S = 0.01
@@ -70,6 +70,21 @@
         connection.transport.abort()  # type: ignore[union-attr]
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """A copy of a row store, from which it can be restored.
+
+    Attributes:
+        rows: Data and version of each row, by table and key.
+        version: Version of the most recent change.
+        history: Changes, oldest first.
+    """
+
+    rows: dict[tuple[str, str], tuple[bytes, int]]
+    version: int
+    history: tuple[tuple[int, str, str, bytes | None], ...]
+
+
 class RowStoreStandin:
     """The platform's row store, in memory.
 
@@ -78,6 +93,7 @@
         version: Version of the most recent change.
         history: Most recent changes, oldest first, each with its version,
             table, key and data; the data None stands for a removal.
+        era: Number of times that the store was restored from a copy.
         refuses: Whether every call is answered with status 503.
         drops_answers: Whether changes are applied but not answered.
     """
@@ -88,6 +104,7 @@
         self.history: collections.deque[tuple[int, str, str, bytes | None]] = (
             collections.deque(maxlen=1000)
         )
+        self.era = 0
         self.refuses = False
         self.drops_answers = False
         self._changed = asyncio.Event()
@@ -110,13 +127,28 @@
         self.history.clear()
         self.version += 1
 
+    def copy(self) -> StoreCopy:
+        """Returns a copy of the store."""
+        return StoreCopy(dict(self.rows), self.version, tuple(self.history))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Returns to a copy; what was written since is lost.
+
+        Versions go back and are given out again.
+        """
+        self.rows = dict(copy.rows)
+        self.version = copy.version
+        self.history.clear()
+        self.history.extend(copy.history)
+        self.era += 1
+
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         """Answers one call."""
         body = await _read_body(receive)
         if self.refuses:
-            await _send_answer(send, 503)
+            await self._answer(send, 503)
             return
         query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
         if scope["path"] == wire.Path.ROWS_CHANGE:
@@ -127,7 +159,11 @@
             status, document = 200, self._read(query)
         else:
             status, document = await self._read_changes(query)
-        await _send_answer(send, status, json.dumps(document).encode())
+        await self._answer(send, status, json.dumps(document).encode())
+
+    async def _answer(self, send: Send, status: int, body: bytes = b"") -> None:
+        headers = ((wire.Header.STORE_ERA, str(self.era)),)
+        await _send_answer(send, status, body, headers)
 
     def _apply_change(
         self, change: dict[str, Any]
@@ -164,7 +200,8 @@
         deadline = time.monotonic() + wait_s
         while True:
             oldest = self.history[0][0] if self.history else self.version + 1
-            if after < self.version and after + 1 < oldest:
+            is_lost = after < self.version and after + 1 < oldest
+            if is_lost or after > self.version:
                 return 410, {}
             rows = [
                 encode.row(table, key, version, data)
@@ -472,6 +509,15 @@
             encode.configuration(configuration),
         )
 
+    def restore(self, copy: StoreCopy) -> None:
+        """Restores the store; engines write again what it lost of theirs."""
+        self.store.restore(copy)
+        self._written_rows = {
+            key: data
+            for (table, key), (data, _) in copy.rows.items()
+            if table == wire.Field.ENGINES_TABLE
+        }
+
     async def stop(self) -> None:
         """Stops the engines, and closes all listeners and connections."""
         if self._task is not None:
