Keep versions of the store apart by the era that they come from

A store that comes back from an older copy gives out its versions again. Where they passed those read before anyone asked again, feeds went on after them and missed what had changed below: instances went on serving a dropped route and not the added one, and didn't hear that an engine leaves, also those that follow a peer. A conditional write could succeed on a row of another writer, and a table be read from two histories. Class: a position is taken for the history it came from.

Versions carry the number of restores, which all answers of the store name, in their upper bits, as the transaction IDs of ZooKeeper carry their epoch. So what feeds, peers, leases and row caches compare is right without knowing it. A feed or a condition of an earlier era fails; a waiting feed ends as soon as any answer shows a later era; a write that succeeded on a condition of an earlier era counts as unknown.

--- a/tamarackpier/platform/decode.py
+++ b/tamarackpier/platform/decode.py
@@ -19,6 +19,7 @@
     "engine_report",
     "request_rate",
     "row_value",
+    "store_era",
 ]
 
 T = TypeVar("T")
@@ -41,6 +42,19 @@
     return base64.b64decode(text, validate=True)
 
 
+def store_era(text: str | None) -> int:
+    """Returns the store's era; 0 for a store that names none.
+
+    Raises:
+        ValueError: The text is not a number.
+    """
+    if text is None:
+        return 0
+    if not text.isdigit():
+        raise ValueError(f"store era is not a number: {text!r}")
+    return int(text)
+
+
 def configuration(
     data: bytes,
 ) -> result.Result[model.Configuration, codes.Fault]:
--- a/tamarackpier/platform/interfaces.py
+++ b/tamarackpier/platform/interfaces.py
@@ -21,10 +21,37 @@
     "Transaction",
     "Watch",
     "Write",
+    "era_of",
+    "position",
+    "store_version",
 ]
 
 Value = Mapping[str, Any]
 
+# A store that is restored from a copy gives out its versions again, so versions
+# are compared together with the number of restores, in their upper bits.
+_STORE_VERSION_BITS = 48
+
+
+def position(era: int, version: int) -> int:
+    """Returns a version that is comparable across restores of the store.
+
+    Args:
+        era: Number of restores so far.
+        version: Version as the store gave it out in this era.
+    """
+    return era << _STORE_VERSION_BITS | version
+
+
+def era_of(version: int) -> int:
+    """Returns the number of restores before a version was given out."""
+    return version >> _STORE_VERSION_BITS
+
+
+def store_version(version: int) -> int:
+    """Returns a version as the store gave it out."""
+    return version & ((1 << _STORE_VERSION_BITS) - 1)
+
 
 @dataclasses.dataclass(frozen=True)
 class Row:
@@ -32,8 +59,8 @@
 
     Attributes:
         key: Key of the row.
-        version: Version, which rises with each write; 0 when the row is
-            absent.
+        version: Version, which rises with each write, also across restores
+            of the store; 0 when the row is absent.
         value: JSON value of the row; None when the row is absent.
     """
 
--- a/tamarackpier/platform/store.py
+++ b/tamarackpier/platform/store.py
@@ -1,7 +1,10 @@
 """HTTP client of the row store: instances' leases, and other writers' rows."""
 
+import asyncio
 import base64
+import dataclasses
 import json
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -21,16 +24,45 @@
 _FEED_TIMEOUT_MARGIN_S = 1.5
 
 
+@dataclasses.dataclass(frozen=True)
+class _Response:
+    """A response of the store.
+
+    Attributes:
+        status: HTTP status.
+        body: The complete body.
+        era: Number of restores before it.
+    """
+
+    status: int
+    body: bytes
+    era: int
+
+
+@dataclasses.dataclass(frozen=True)
+class _Page:
+    """The JSON document of a successful response, and the store's era."""
+
+    document: Any
+    era: int
+
+
 class RowStore(interfaces.Table, interfaces.Watch):
     """Reads, writes and watches rows over HTTP.
 
     Keys have the form `TABLE/KEY`. The store's `part` field is always empty.
 
+    The store may come back from an older copy of itself. Each response shows
+    its era, the number of restores so far; versions of an earlier era aren't
+    used in a later one.
+
     Attributes:
         session: HTTP session with the connections to the store.
         url: Base URL of the store.
         timeout_s: Time limit of a call, in seconds; long polls have their own.
         calls: Number of calls made so far; the platform charges for each.
+        era: Latest era seen; None before the first response.
+        on_restored: Called when the store has been restored.
     """
 
     def __init__(
@@ -40,6 +72,20 @@
         self.url = f"http://{address}"
         self.timeout_s = timeout_s
         self.calls = 0
+        self.era: int | None = None
+        self.on_restored: Callable[[], None] = lambda: None
+        self._restored = asyncio.Event()
+
+    def observe_era(self, era: int) -> None:
+        """Records the era of a response, or of rows that a peer has read."""
+        if self.era is not None and era <= self.era:
+            return
+        is_restored = self.era is not None
+        self.era = era
+        if is_restored:
+            self._restored.set()
+            self._restored = asyncio.Event()
+            self.on_restored()
 
     async def read(
         self, keys: tuple[str, ...]
@@ -53,12 +99,13 @@
                 wire.Path.ROWS_GET, query, self.timeout_s
             )
             if not pipeline.is_successful(page_result):
-                return page_result
+                return result.Failure(page_result.failure())
+            page = page_result.unwrap()
             try:
-                rows = page_result.unwrap()["rows"]
+                rows = page.document["rows"]
                 is_present = bool(rows) and rows[0]["key"] == name
                 rows_by_key[key] = _decode_row(
-                    key, rows[0] if is_present else None
+                    key, rows[0] if is_present else None, page.era
                 )
             except failures.MALFORMED as error:
                 return _malformed_failure(error)
@@ -69,13 +116,13 @@
     ) -> result.Result[dict[str, interfaces.Row], codes.Fault]:
         """Reads all rows whose key starts with a prefix `TABLE/START`."""
         table, _, start = prefix.partition("/")
-        rows_result = await self._read_table(table)
-        return rows_result.map(
-            lambda rows_and_version: {
+        page_result = await self._read_table(table)
+        return page_result.map(
+            lambda page: {
                 f"{table}/{row['key']}": _decode_row(
-                    f"{table}/{row['key']}", row
+                    f"{table}/{row['key']}", row, page.era
                 )
-                for row in rows_and_version[0]
+                for row in page.document["rows"]
                 if row["key"].startswith(start)
             }
         )
@@ -83,12 +130,29 @@
     async def transact(
         self, transaction: interfaces.Transaction
     ) -> result.Result[dict[str, int], codes.Fault]:
-        """Commits a transaction; returns the new versions of rows, by key."""
-        body = _encode_transaction(transaction)
+        """Commits a transaction; returns the new versions of rows, by key.
+
+        A condition on a version of an earlier era has failed, even if the row
+        has that version again.
+        """
+        eras = {
+            interfaces.era_of(check.version)
+            for check in transaction.checks
+            if check.version
+        }
+        if self.era is not None and eras - {self.era}:
+            return failures.failure(
+                codes.TABLE_CONFLICT,
+                f"the condition is on eras {sorted(eras)}, and the store is in"
+                f" era {self.era}",
+            )
         self.calls += 1
         try:
-            status, data = await self._call(
-                "POST", wire.Path.ROWS_CHANGE, self.timeout_s, body=body
+            response = await self._call(
+                "POST",
+                wire.Path.ROWS_CHANGE,
+                self.timeout_s,
+                body=_encode_transaction(transaction),
             )
         except aiohttp.ClientConnectorError as error:
             return failures.failure(codes.TABLE_UNAVAILABLE, str(error))
@@ -96,15 +160,23 @@
             return failures.failure(
                 codes.TABLE_ANSWER_LOST, failures.describe(error)
             )
-        if status == _CONFLICT:
+        if response.status == _CONFLICT:
+            return failures.failure(
+                codes.TABLE_CONFLICT, response.body.decode(errors="replace")
+            )
+        page_result = _parse_response(response)
+        if not pipeline.is_successful(page_result):
+            return result.Failure(page_result.failure())
+        if eras - {response.era}:
             return failures.failure(
-                codes.TABLE_CONFLICT, data.decode(errors="replace")
+                codes.TABLE_ANSWER_LOST,
+                f"written in era {response.era} on a condition on eras"
+                f" {sorted(eras)}",
             )
-        parse_result = _parse_response(status, data)
-        if not pipeline.is_successful(parse_result):
-            return parse_result
         try:
-            version = int(parse_result.unwrap()["ver"])
+            version = interfaces.position(
+                response.era, int(page_result.unwrap().document["ver"])
+            )
         except failures.MALFORMED as error:
             return failures.failure(
                 codes.TABLE_ANSWER_LOST, failures.describe(error)
@@ -117,36 +189,54 @@
         self, table: str
     ) -> result.Result[interfaces.Changes, codes.Fault]:
         """Returns all rows of a table."""
-        rows_result = await self._read_table(table)
-        return rows_result.bind(
-            lambda rows_and_version: _decode_changes(
-                {"rows": rows_and_version[0], "ver": rows_and_version[1]}
-            )
-        )
+        page_result = await self._read_table(table)
+        return page_result.bind(_decode_changes)
 
     async def changes(
         self, table: str, after: int, wait_s: float
     ) -> result.Result[interfaces.Changes, codes.Fault]:
         """Returns the rows changed after a version, by long polling.
 
-        Waits up to `wait_s` seconds for the first change.
+        Waits up to `wait_s` seconds for the first change, but no longer than
+        until any response shows that the store was restored.
         """
+        era = interfaces.era_of(after)
+        if self.era is not None and era != self.era:
+            return _other_era_failure(era, self.era)
         query = {
             "table": table,
-            "after": str(after),
+            "after": str(interfaces.store_version(after)),
             "wait_ms": str(int(wait_s * 1e3)),
         }
-        page_result = await self._get(
-            wire.Path.ROWS_FEED, query, wait_s + _FEED_TIMEOUT_MARGIN_S
+        poll = asyncio.ensure_future(
+            self._get(
+                wire.Path.ROWS_FEED, query, wait_s + _FEED_TIMEOUT_MARGIN_S
+            )
         )
+        restored = asyncio.ensure_future(self._restored.wait())
+        try:
+            await asyncio.wait(
+                (poll, restored), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            restored.cancel()
+            is_answered = poll.done()
+            poll.cancel()
+        if not is_answered:
+            return _other_era_failure(era, self.era)
+        page_result = poll.result()
+        if pipeline.is_successful(page_result):
+            page = page_result.unwrap()
+            if page.era != era:
+                return _other_era_failure(era, page.era)
         return page_result.bind(_decode_changes)
 
     async def _read_table(
         self, table: str
-    ) -> result.Result[tuple[list[dict[str, Any]], int], codes.Fault]:
+    ) -> result.Result[_Page, codes.Fault]:
         """Returns all encoded rows of a table and the first page's version."""
         rows: list[dict[str, Any]] = []
-        version = None
+        first_page: _Page | None = None
         start = ""
         while True:
             query = {
@@ -160,29 +250,39 @@
             )
             if not pipeline.is_successful(page_result):
                 return page_result
-            document = page_result.unwrap()
+            page = page_result.unwrap()
+            first_page = first_page or page
+            if page.era != first_page.era:
+                return _other_era_failure(first_page.era, page.era)
             try:
-                rows += document["rows"]
+                rows += page.document["rows"]
                 # The first page's version is kept: changes made while later
                 # pages are read are then delivered again by the feed.
-                version = int(document["ver"]) if version is None else version
-                if not document.get("has_more") or not document["rows"]:
-                    return result.Success((rows, version))
-                start = document["rows"][-1]["key"] + "\0"
+                version = int(first_page.document["ver"])
+                is_last = (
+                    not page.document.get("has_more")
+                    or not page.document["rows"]
+                )
+                if is_last:
+                    document = {"rows": rows, "ver": version}
+                    return result.Success(_Page(document, page.era))
+                start = page.document["rows"][-1]["key"] + "\0"
             except failures.MALFORMED as error:
                 return _malformed_failure(error)
 
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
-    ) -> result.Result[Any, codes.Fault]:
+    ) -> result.Result[_Page, codes.Fault]:
         self.calls += 1
         try:
-            status, data = await self._call("GET", path, timeout_s, query=query)
+            response = await self._call("GET", path, timeout_s, query=query)
         except (TimeoutError, aiohttp.ClientError) as error:
             return failures.failure(
                 codes.TABLE_UNAVAILABLE, failures.describe(error)
             )
-        return _parse_response(status, data)
+        if self.era is not None and response.era < self.era:
+            return _other_era_failure(response.era, self.era)
+        return _parse_response(response)
 
     async def _call(
         self,
@@ -191,7 +291,7 @@
         timeout_s: float,
         query: dict[str, str] | None = None,
         body: bytes | None = None,
-    ) -> tuple[int, bytes]:
+    ) -> _Response:
         headers = {"Content-Type": "application/json"} if body else None
         async with self.session.request(
             method,
@@ -201,17 +301,37 @@
             headers=headers,
             timeout=aiohttp.ClientTimeout(total=timeout_s),
         ) as response:
-            return response.status, await response.read()
+            data = await response.read()
+            try:
+                era = decode.store_era(
+                    response.headers.get(wire.Header.STORE_ERA)
+                )
+            except ValueError as error:
+                raise aiohttp.ClientError(str(error)) from error
+            self.observe_era(era)
+            return _Response(response.status, data, era)
 
 
 def _decode_changes(
-    page: dict[str, Any],
+    page: _Page,
 ) -> result.Result[interfaces.Changes, codes.Fault]:
     try:
-        rows = tuple(_decode_change(row) for row in page["rows"])
-        return result.Success(interfaces.Changes(rows, int(page["ver"])))
+        rows = tuple(
+            _decode_change(row, page.era) for row in page.document["rows"]
+        )
+        version = interfaces.position(page.era, int(page.document["ver"]))
     except failures.MALFORMED as error:
         return _malformed_failure(error)
+    return result.Success(interfaces.Changes(rows, version))
+
+
+def _other_era_failure(
+    era: int, present_era: int | None
+) -> result.Result[Any, codes.Fault]:
+    return failures.failure(
+        codes.TABLE_HISTORY_LOST,
+        f"versions of era {era} don't hold in era {present_era}",
+    )
 
 
 def _malformed_failure(error: Exception) -> result.Result[Any, codes.Fault]:
@@ -221,9 +341,8 @@
     )
 
 
-def _parse_response(
-    status: int, data: bytes
-) -> result.Result[Any, codes.Fault]:
+def _parse_response(response: _Response) -> result.Result[_Page, codes.Fault]:
+    status = response.status
     if status == _GONE:
         return failures.failure(codes.TABLE_HISTORY_LOST, "HTTP 410")
     if status == _TOO_MANY:
@@ -231,18 +350,22 @@
     if status != _OK:
         return failures.failure(codes.TABLE_UNAVAILABLE, f"HTTP {status}")
     try:
-        return result.Success(json.loads(data))
+        document = json.loads(response.body)
     except ValueError as error:
         return failures.failure(
             codes.TABLE_UNAVAILABLE, f"response is not valid JSON: {error}"
         )
+    return result.Success(_Page(document, response.era))
 
 
 def _encode_transaction(transaction: interfaces.Transaction) -> bytes:
     # `expected_rev` lists the expected version of each row; it is not one
     # condition on the whole operation.
     conditions = [
-        {**_row_name(check.key), "ver": check.version}
+        {
+            **_row_name(check.key),
+            "ver": interfaces.store_version(check.version),
+        }
         for check in transaction.checks
     ]
     puts = []
@@ -263,19 +386,23 @@
     return {"table": table, "part": "", "key": name}
 
 
-def _decode_row(key: str, row: dict[str, Any] | None) -> interfaces.Row:
+def _decode_row(
+    key: str, row: dict[str, Any] | None, era: int
+) -> interfaces.Row:
     if row is None:
         return interfaces.Row(key, 0, None)
     value = json.loads(decode.row_value(row["value"]))
-    return interfaces.Row(key, int(row["ver"]), value)
+    version = interfaces.position(era, int(row["ver"]))
+    return interfaces.Row(key, version, value)
 
 
-def _decode_change(row: dict[str, Any]) -> interfaces.Change:
+def _decode_change(row: dict[str, Any], era: int) -> interfaces.Change:
+    version = interfaces.position(era, int(row["ver"]))
     if row.get("removed"):
-        return interfaces.Change(row["key"], int(row["ver"]), None)
+        return interfaces.Change(row["key"], version, None)
     # An invalid value becomes empty, so that the other rows are delivered.
     try:
         data = decode.row_value(row.get("value"))
     except ValueError:
         data = b""
-    return interfaces.Change(row["key"], int(row["ver"]), data)
+    return interfaces.Change(row["key"], version, data)
