Keep a lease that the store lost, and write it again

The planner of a zone renews its lease row on the version that it wrote. A store that comes back from an older copy has an earlier holder there, or no row; the planner took that for a takeover and stopped planning, and nobody else could begin before the earlier holder's lease had run out once more.

A row with a lower number than that of a lease that is still valid can only be from before it, and nobody else may have taken the lease since. The holder renews it on the row that is there, unless a peer says that it plans the zone.

--- a/tamarackpier/daemon/zone_lease.py
+++ b/tamarackpier/daemon/zone_lease.py
@@ -102,6 +102,7 @@
         self._next_step_at = 0.0
         self._unplanned_since: float | None = None
         self._must_wait = False
+        self._claims = zone_claims.ZoneClaims()
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -120,6 +121,7 @@
     def tick(self, claims: zone_claims.ZoneClaims) -> None:
         """Starts the next lease operation if due and updates overtime."""
         now = self.clock()
+        self._claims = claims
         self._subtract_suspension()
         self._update_unplanned_since(claims, now)
         is_idle = self._task is None or self._task.done()
@@ -394,9 +396,30 @@
         elif held is not None and row.version != held.row_version:
             if lease.is_held_by(row, held):
                 self.held = dataclasses.replace(held, row_version=row.version)
+            elif self._was_lost_by_store(row, held):
+                logs.event("lease lost by store", zone=self.zone)
+                # Renewing it writes it again.
+                now = self.clock()
+                self.held = dataclasses.replace(
+                    held, row_version=row.version, renew_at=now
+                )
+                self._next_step_at = now
             else:
                 self._lose_lease("taken over")
 
+    def _was_lost_by_store(
+        self, row: interfaces.Row, held: lease.HeldLease
+    ) -> bool:
+        """Returns whether the row is from before a lease that is still valid.
+
+        Until the lease has expired nobody else may have taken it over since.
+        """
+        return (
+            lease.is_older(row, held)
+            and lease.holds(held, self.clock())
+            and self.zone not in self._claims.leased
+        )
+
     def _set_held(
         self, step: lease.Step, row_version: int, requested_at: float
     ) -> None:
--- a/tamarackpier/replica/lease.py
+++ b/tamarackpier/replica/lease.py
@@ -26,6 +26,7 @@
     "fence_base",
     "holds",
     "is_held_by",
+    "is_older",
     "observe",
     "release",
     "renew",
@@ -247,6 +248,11 @@
     )
 
 
+def is_older(row: interfaces.Row, held_lease: HeldLease) -> bool:
+    """Returns whether a row is from before a lease, since its store lost it."""
+    return _lease_number(row) < held_lease.number
+
+
 def release(held_lease: HeldLease) -> interfaces.Transaction:
     """Returns the transaction that releases a lease before it expires."""
     value = {"holder": "", "number": held_lease.number, "duration_s": 0.0}
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -165,14 +165,12 @@
 def test_a_lease_that_the_store_lost_is_written_again_by_its_holder():
     async def check(standin, rows):
         node = exchange_fixtures.Node(0, (), time.monotonic)
-        copies = [standin.copy()]
-        standin.put(
-            "lease",
-            "zone-0",
-            b'{"holder": "gone/1", "number": 4, "duration_s": 3.0}',
-        )
-        copies.append(standin.copy())
-        for copy in copies:
+        gone = b'{"holder": "gone/1", "number": 4, "duration_s": 3.0}'
+        free = b'{"holder": "", "number": 4, "duration_s": 0.0}'
+        for older, newer in ((None, None), (gone, free)):
+            standin.put("lease", "zone-0", older)
+            copy = standin.copy()
+            standin.put("lease", "zone-0", newer)
             lease, lost = _lease(rows, node, time.monotonic)
             await _until_planning(lease, zone_claims.ZoneClaims())
             number = lease.held.number
