Never go back with the fencing numbers of a zone

Engines refuse orders below the highest fencing number they have seen. A planner took the number of its lease from the row and added one; a store that comes back from an older copy has an older row, so that the next planner's numbers had been used, and its orders were refused until its number had risen again.

A lease is taken over with a number above those that engines and peers name.

--- a/tamarackpier/daemon/zone_lease.py
+++ b/tamarackpier/daemon/zone_lease.py
@@ -306,11 +306,21 @@
         if self.held is not None and not self._is_unleased():
             await self._write(lease.renew(self.held, _LEASE_S, now), now)
             return
-        step = lease.decide(self._observation, None, self.holder, _LEASE_S, now)
+        min_number = lease.number_above(self._highest_fence())
+        step = lease.decide(
+            self._observation,
+            None,
+            self.holder,
+            _LEASE_S,
+            now,
+            min_number=min_number,
+        )
         observation = self._observation
         has_ended = self._holder_has_ended()
         if step.kind is lease.StepKind.READ and observation and has_ended:
-            step = lease.take_over(observation, self.holder, _LEASE_S, now)
+            step = lease.take_over(
+                observation, self.holder, _LEASE_S, now, min_number
+            )
         if step.kind is lease.StepKind.READ:
             await self._read()
             if self._is_free():
@@ -318,6 +328,21 @@
             return
         await self._write(step, now)
 
+    def _highest_fence(self) -> int:
+        """Returns the highest fencing number that is known to be in use.
+
+        Engines refuse lower ones, and the number in the lease row may have gone
+        back with the store.
+        """
+        fences = [
+            engine.membership.key.fence
+            for engine in self.fleet.engines.values()
+            if engine.membership is not None
+            and engine.availability_zone == self.zone
+        ]
+        claimed_fence = self._claims.fences.get(self.zone, 0)
+        return max([claimed_fence - 1, self.next_fence() - 1, 0, *fences])
+
     def _is_free(self) -> bool:
         """Returns whether the lease can be acquired at once."""
         observation = self._observation
--- a/tamarackpier/replica/lease.py
+++ b/tamarackpier/replica/lease.py
@@ -31,6 +31,7 @@
     "release",
     "renew",
     "lease_after",
+    "number_above",
     "take_over",
 ]
 
@@ -128,6 +129,7 @@
     duration_s: float,
     now: float,
     takeover_delay_s: float = 0.0,
+    min_number: int = 0,
 ) -> Step:
     """Returns the next action on a lease.
 
@@ -139,6 +141,7 @@
         now: Current time on the monotonic clock, in seconds.
         takeover_delay_s: Additional wait before taking over, in seconds, so
             that preferred contenders go first.
+        min_number: Lowest fencing number to take the lease over with.
     """
     if held_lease is not None and holds(held_lease, now):
         if now < held_lease.renew_at:
@@ -151,22 +154,27 @@
         < _expiry_wait_s(observation) + takeover_delay_s
     ):
         return Step(StepKind.READ)
-    return take_over(observation, holder, duration_s, now)
+    return take_over(observation, holder, duration_s, now, min_number)
 
 
 def take_over(
-    observation: LeaseObservation, holder: str, duration_s: float, now: float
+    observation: LeaseObservation,
+    holder: str,
+    duration_s: float,
+    now: float,
+    min_number: int = 0,
 ) -> Step:
     """Returns the step that takes a lease over from any holder.
 
     This is safe only once the holder's lease has expired, or its process is
-    known to have ended.
+    known to have ended. The number is at least `min_number`, since that of the
+    row goes back with a store that is restored from a copy.
     """
     return _write(
         StepKind.ACQUIRE,
         observation.key,
         holder,
-        _lease_number(observation.row) + 1,
+        max(_lease_number(observation.row) + 1, min_number),
         duration_s,
         observation.row.version,
         now,
@@ -271,6 +279,11 @@
     return number * FENCES_PER_LEASE
 
 
+def number_above(fence: int) -> int:
+    """Returns the lowest number whose fencing numbers are all above one."""
+    return fence // FENCES_PER_LEASE + 1
+
+
 def _write(
     kind: StepKind,
     key: str,
