Distrust engine rows of a restored store

Found by test_a_store_that_is_restored_leaves_exactly_one_planner once feeds noticed a restore: rows from a copy said that engines were free which served in a replica, and the planner had them join another, which cuts off all streams.

After a restore rows count as possibly stale for as long as after an outage, so that the planner asks engines before it orders anything.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -110,6 +110,7 @@
         )
         self._build_followers()
         self._build_listeners()
+        self.rows.on_restored = self._on_store_restored
 
     def _build_request_path(self) -> None:
         bounds = self.settings.bounds
@@ -413,6 +414,12 @@
         self.fleet.mark_store_unreachable(_ROWS_COMPONENT)
         self.engine_rows.notify_waiters()
 
+    def _on_store_restored(self) -> None:
+        """Distrusts engine rows, since those of a copy may be older."""
+        logs.event("store restored", era=self.rows.era)
+        self.metrics.count("store_restored")
+        self.fleet.mark_rows_stale(self.clock())
+
     def _engine_read_interval_s(self) -> float:
         if self._must_read_store():
             return _PLANNER_READ_INTERVAL_S
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -403,7 +403,7 @@
                 ]
                 assert sum(planners) <= 1
             assert sum(planners) == 1
-        assert not platform.breaches
+        assert not platform.breaches, platform.breaches
 
     deployment_fixtures.run(check, count=3)
 
