Serve on with known replicas while a restored store has older rows

Until rows are reliable again, what was known of an engine stays in effect, as its own answers do; it doesn't count as current for orders.

Measured: test_replicas_serve_on_while_a_restored_store_has_older_rows passes; the code before has nothing to keep the state with, and the rows took effect at once.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -415,10 +415,10 @@
         self.engine_rows.notify_waiters()
 
     def _on_store_restored(self) -> None:
-        """Distrusts engine rows, since those of a copy may be older."""
+        """Distrusts engine rows, since those of the copy may be older."""
         logs.event("store restored", era=self.rows.era)
         self.metrics.count("store_restored")
-        self.fleet.mark_rows_stale(self.clock())
+        self.fleet.mark_rows_restored(self.clock())
 
     def _engine_read_interval_s(self) -> float:
         if self._must_read_store():
--- a/tamarackpier/fleet/fleet_view.py
+++ b/tamarackpier/fleet/fleet_view.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Iterable, Mapping
 
 from tamarackpier.fleet import model
@@ -47,11 +48,14 @@
         initial_row: Row of the engine when it was first probed.
         later_row: Latest row received since, which takes effect when the
             observation expires; None if there is none.
+        kept_until: Time until which the engine's state is kept even without
+            an answer, in seconds on the monotonic clock.
     """
 
     observed_at: float
     initial_row: model.EngineRecord
     later_row: model.EngineRecord | None = None
+    kept_until: float = -math.inf
 
 
 class FleetView:
@@ -120,6 +124,19 @@
             self.rows_fresh_from, now + STORE_RETURN_GRACE_S
         )
 
+    def mark_rows_restored(self, now: float) -> None:
+        """Records that the store was restored, so that rows may be older.
+
+        What is known of the engines is kept until rows are reliable again;
+        engines write them again.
+        """
+        self.mark_rows_stale(now)
+        for engine_id, engine in self.engines.items():
+            observation = self.observations.setdefault(
+                engine_id, Observation(-math.inf, engine)
+            )
+            observation.kept_until = self.rows_fresh_from
+
     def may_be_stale(self, now: float) -> bool:
         """Returns whether rows may be stale."""
         return bool(self.store_unreachable_for) or now < self.rows_fresh_from
@@ -330,7 +347,11 @@
             engine_id
             for engine_id, observation in self.observations.items()
             if not may_be_stale
-            or now - observation.observed_at > OBSERVATION_KEEP_S
+            or now
+            > max(
+                observation.observed_at + OBSERVATION_KEEP_S,
+                observation.kept_until,
+            )
         ]
         for engine_id in expired_ids:
             row = self.observations.pop(engine_id).later_row
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -243,6 +243,28 @@
     _run(check)
 
 
+def test_replicas_serve_on_while_a_restored_store_has_older_rows():
+    fleet = fleet_view.FleetView()
+    fleet.set_services(deployment_fixtures.SERVICES)
+    newer = hosted_fixtures.replica_records("r1", 7)
+    older = [
+        dataclasses.replace(record, membership=None, model="")
+        for record in newer
+    ]
+    for rewritten, count in ((newer, 1), (older, 0)):
+        fleet.replace(newer, 10.0)
+        fleet.mark_rows_restored(10.0)
+        fleet.replace(older, 10.1)
+        for record in older:
+            assert not fleet.is_current(record.id, 10.2)
+        fleet.expire(12.0)
+        assert len(fleet.serving("drafts", "large")) == 1
+        for record in rewritten:
+            fleet.put(record)
+        fleet.expire(13.0)
+        assert len(fleet.serving("drafts", "large")) == count
+
+
 def test_an_engine_that_is_leaving_does_not_return_with_an_older_row():
     fleet = fleet_view.FleetView()
     ready = hosted_fixtures.record("e1", incarnation=5)
