Keep to an engine's leaving when its store is restored

An engine that drains or has been seen to leave gets no requests. A row from a copy of the store says again that it is ready, and requests went to it.

While rows of a restored store may be older, a row doesn't take back that an engine leaves; the engine itself writes it again.

Measured: test_an_engine_that_is_leaving_does_not_return_with_an_older_row failed before and passes.

--- a/tamarackpier/fleet/fleet_view.py
+++ b/tamarackpier/fleet/fleet_view.py
@@ -206,8 +206,11 @@
         observation = self.observations.get(record.id)
         if engine is not None and observation is not None:
             observation.later_row = record
+            was_restored = observation.kept_until > observation.observed_at
             record = dataclasses.replace(
                 record,
+                is_leaving=record.is_leaving
+                or (was_restored and engine.is_leaving),
                 model=engine.model,
                 staged=engine.staged,
                 membership=engine.membership,
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -270,7 +270,9 @@
     ready = hosted_fixtures.record("e1", incarnation=5)
     leaving = hosted_fixtures.record("e1", incarnation=5, is_leaving=True)
     fleet.replace([leaving], 0.0)
+    fleet.mark_rows_restored(0.5)
     fleet.replace([ready], 1.0)
+    fleet.expire(2.9)
     assert fleet.engines["e1"].is_leaving
     assert not fleet.engines_of_service("drafts")
     fleet.put(hosted_fixtures.record("e1", incarnation=6))
