Write suspects again that a restored store lost

Requests that crash engines are kept in the store, so that a restart of all instances doesn't forget them. An instance remembers what it has written; after a restore that row may be gone, and was never written again.

After a restore the store is read again and what it lacks is written.

Measured: test_suspects_that_the_store_lost_are_written_again failed before and passes; it is told of restores as instances are.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -415,10 +415,14 @@
         self.engine_rows.notify_waiters()
 
     def _on_store_restored(self) -> None:
-        """Distrusts engine rows, since those of the copy may be older."""
+        """Distrusts engine rows and writes again what the store may have lost.
+
+        The rows of the copy may be older.
+        """
         logs.event("store restored", era=self.rows.era)
         self.metrics.count("store_restored")
         self.fleet.mark_rows_restored(self.clock())
+        self.quarantine_store.forget_stored()
 
     def _engine_read_interval_s(self) -> float:
         if self._must_read_store():
--- a/tamarackpier/daemon/quarantine_store.py
+++ b/tamarackpier/daemon/quarantine_store.py
@@ -53,6 +53,11 @@
         self.is_loaded = False
         self._next_call_at = float("-inf")
 
+    def forget_stored(self) -> None:
+        """Reads the store again, and writes what it has lost."""
+        self.stored.clear()
+        self.is_loaded = False
+
     async def update(self) -> None:
         """Expires old deaths, and reads or writes what the store lacks."""
         now = self.clock()
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -230,6 +230,7 @@
         kept = quarantine_store.QuarantineStore(
             suspects, rows, metrics.Metrics(), lambda: 0.0, lambda: 1000.0
         )
+        rows.on_restored = kept.forget_stored
         copy = standin.copy()
         await kept.update()
         assert ("quarantine", "bad") in standin.rows
