Register again at a store that lost the row of an instance

An instance that starts finds the others by their rows in the store. Each wrote its row once, at its start; after a restore from a copy without it, instances that started later never found it, unless the contacts in their settings were alive.

Measured: test_instances_register_again_at_a_store_that_lost_them failed before and passes.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -87,6 +87,7 @@
         self.is_leaving = False
         self.zone_controllers: dict[str, zone_controller.ZoneController] = {}
         self._tasks: list[asyncio.Task[Any]] = []
+        self._registration: asyncio.Task[None] | None = None
         self._next_peer_round_at = 0.0
         self._registered_count = 0
         self._next_plan_at = 0.0
@@ -329,7 +330,7 @@
                 loops.run_forever(quarantine_job, self.metrics, self.rng)
             )
         )
-        self._tasks.append(asyncio.ensure_future(self._register()))
+        self._start_registration()
         self._tasks.append(asyncio.ensure_future(self._run_ticks()))
         logs.event(
             "started",
@@ -376,6 +377,8 @@
             listener.close_idle()
         for task in self._tasks:
             task.cancel()
+        if self._registration is not None:
+            self._registration.cancel()
         await self.peers.close()
         await self.peer_server.stop(0)
 
@@ -423,6 +426,13 @@
         self.metrics.count("store_restored")
         self.fleet.mark_rows_restored(self.clock())
         self.quarantine_store.forget_stored()
+        self._start_registration()
+
+    def _start_registration(self) -> None:
+        """Registers this instance in the store, also if it did so before."""
+        if self._registration is not None:
+            self._registration.cancel()
+        self._registration = asyncio.ensure_future(self._register())
 
     def _engine_read_interval_s(self) -> float:
         if self._must_read_store():
