Pass on no state as an engine's answer that it didn't give

State that is kept over a restore has no time of an answer; a status message could not be built while such an engine's row differed, so that exchanges with peers failed. Seen as an error in the output of test_store_restored, whose tests passed.

Measured: test_what_is_kept_over_a_restore_is_not_passed_on_as_an_answer failed before and passes.

--- a/tamarackpier/fleet/fleet_view.py
+++ b/tamarackpier/fleet/fleet_view.py
@@ -192,6 +192,7 @@
             (self.engines[engine_id], observation.observed_at)
             for engine_id, observation in self.observations.items()
             if self.engines[engine_id] != observation.initial_row
+            and observation.observed_at > -math.inf
         ]
 
     def put(self, record: model.EngineRecord) -> None:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -266,6 +266,14 @@
         assert len(fleet.serving("drafts", "large")) == count
 
 
+def test_what_is_kept_over_a_restore_is_not_passed_on_as_an_answer():
+    node = exchange_fixtures.Node(0, (), lambda: 1.0)
+    node.fleet.replace([hosted_fixtures.record("e1", incarnation=5)], 0.0)
+    node.fleet.mark_rows_restored(0.5)
+    node.fleet.put(hosted_fixtures.record("e1", incarnation=5, is_leaving=True))
+    assert not node.statuses.build_status().observed
+
+
 def test_an_engine_that_is_leaving_does_not_return_with_an_older_row():
     fleet = fleet_view.FleetView()
     ready = hosted_fixtures.record("e1", incarnation=5)
