Count a write from before a restore as unknown if it is answered after it

Its answer names the earlier era; the row it wrote is lost, and it was taken for written.

Measured: test_a_write_that_is_acknowledged_after_a_restore_counts_as_unknown failed before and passes.

--- a/tamarackpier/platform/store.py
+++ b/tamarackpier/platform/store.py
@@ -167,11 +167,11 @@
         page_result = _parse_response(response)
         if not pipeline.is_successful(page_result):
             return result.Failure(page_result.failure())
-        if eras - {response.era}:
+        if eras - {response.era} or response.era != self.era:
             return failures.failure(
                 codes.TABLE_ANSWER_LOST,
                 f"written in era {response.era} on a condition on eras"
-                f" {sorted(eras)}",
+                f" {sorted(eras)}; the store is in era {self.era}",
             )
         try:
             version = interfaces.position(
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -453,3 +453,24 @@
         assert ("instance", "a") in standin.rows
 
     _run(check)
+
+
+def test_a_write_that_is_acknowledged_after_a_restore_counts_as_unknown():
+    async def check(standin, rows):
+        copy = standin.copy()
+        apply_change = standin._apply_change
+
+        def apply_and_restore(change):
+            outcome = apply_change(change)
+            standin.restore(copy)
+            rows.observe_era(standin.era)
+            standin.era -= 1
+            return outcome
+
+        standin._apply_change = apply_and_restore
+        write = interfaces.Write("quarantine/bad", {"x": 1})
+        outcome = await rows.transact(interfaces.Transaction((), (write,)))
+        assert outcome.failure().code is codes.TABLE_ANSWER_LOST
+        assert ("quarantine", "bad") not in standin.rows
+
+    _run(check)
