Notice a restore of the store through peers

An instance whose calls to the store all wait for changes, on connections that went silent, learned of a restore only when these calls timed out after 21 s. What peers say of the rows they read names the era, so it notices with the next exchange. The stand-in no longer answers calls that waited when it was restored.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -512,9 +512,16 @@
         self.relay.streams.keep_only(set(self.fleet.replicas()))
         self.relay.engine_scores.keep_only(set(self.fleet.engines))
         self.statuses.expire()
+        self._learn_era_from_peers()
         self.peers.start_exchanges()
         self.catch_up.tick(now)
 
+    def _learn_era_from_peers(self) -> None:
+        """Notices a restore of the store while own calls wait for changes."""
+        version = self.statuses.newest_engines_version()
+        if self.rows.era is not None:
+            self.rows.observe_era(interfaces.era_of(version))
+
     def _may_try(self, suspect: str) -> bool:
         """Returns whether this is the instance that tries a suspect again."""
         limits = self.relay.limits
--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -134,7 +134,8 @@
     def restore(self, copy: StoreCopy) -> None:
         """Returns to a copy; what was written since is lost.
 
-        Versions go back and are given out again.
+        Versions go back and are given out again. Calls that wait for a change
+        are never answered.
         """
         self.rows = dict(copy.rows)
         self.version = copy.version
@@ -198,7 +199,10 @@
         after = int(query["after"])
         wait_s = int(query.get("wait_ms", 0)) / 1e3
         deadline = time.monotonic() + wait_s
+        era = self.era
         while True:
+            if self.era != era:
+                await asyncio.sleep(3600)
             oldest = self.history[0][0] if self.history else self.version + 1
             is_lost = after < self.version and after + 1 < oldest
             if is_lost or after > self.version:
