Do not take an engine back that a restored store still lists

An engine that had left has a row again in a copy of the store, and may still be running for some seconds: it got requests after its leaving had been acknowledged.

The record of gone engines is bounded.

Measured: test_an_engine_that_is_gone_returns_only_if_it_is_still_there failed before and passes.

--- a/tamarackpier/fleet/fleet_view.py
+++ b/tamarackpier/fleet/fleet_view.py
@@ -19,6 +19,7 @@
 # order to join.
 OBSERVATION_FRESH_S = 0.8
 _MAX_SUSPENSIONS = 4096
+_MAX_GONE_ENGINES = 4096
 
 
 @dataclasses.dataclass(frozen=True)
@@ -78,6 +79,11 @@
         store_unreachable_for: Names of the components that cannot reach the
             store; while there is one, rows may be stale.
         observations: Observations by engine ID, made while rows may be stale.
+        gone: Incarnation of each engine that was removed last, by ID.
+        doubtful_rows: Rows in a restored store of engines that are gone, by ID;
+            they take effect when rows are reliable again.
+        restored_until: Time until which rows may be those of a copy from which
+            the store was restored, in seconds on the monotonic clock.
     """
 
     def __init__(self) -> None:
@@ -89,6 +95,9 @@
         self.rows_fresh_from = 0.0
         self.store_unreachable_for: set[str] = set()
         self.observations: dict[str, Observation] = {}
+        self.gone: dict[str, int] = {}
+        self.doubtful_rows: dict[str, model.EngineRecord] = {}
+        self.restored_until = -math.inf
         self._replicas: dict[model.ReplicaKey, model.Replica] | None = None
         self._open: dict[tuple[str, str], list[model.Replica]] | None = None
         self._by_service: dict[str, list[model.EngineRecord]] | None = None
@@ -131,6 +140,7 @@
         engines write them again.
         """
         self.mark_rows_stale(now)
+        self.restored_until = self.rows_fresh_from
         for engine_id, engine in self.engines.items():
             observation = self.observations.setdefault(
                 engine_id, Observation(-math.inf, engine)
@@ -204,6 +214,8 @@
             self.silent.pop(record.id, None)
             self.observations.pop(record.id, None)
         self.pending_removals.pop(record.id, None)
+        self.doubtful_rows.pop(record.id, None)
+        self.gone.pop(record.id, None)
         observation = self.observations.get(record.id)
         if engine is not None and observation is not None:
             observation.later_row = record
@@ -225,6 +237,7 @@
         The engine is removed at once, or when rows are reliable again if that
         time is known and still to come.
         """
+        self.doubtful_rows.pop(engine_id, None)
         if engine_id not in self.engines:
             return
         if now < self.rows_fresh_from:
@@ -235,14 +248,21 @@
     def replace(
         self, records: Iterable[model.EngineRecord], now: float
     ) -> None:
-        """Replaces all rows; engines that are not among them are removed."""
+        """Replaces all rows; engines that are not among them are removed.
+
+        In a restored store, an engine that is gone may have a row again. It
+        counts only if the engine writes it again, or keeps it.
+        """
         present_ids = set()
         for record in records:
             present_ids.add(record.id)
-            self.put(record)
-        for engine_id in [
-            known_id for known_id in self.engines if known_id not in present_ids
-        ]:
+            is_gone = self.gone.get(record.id) == record.incarnation
+            if is_gone and now < self.restored_until:
+                self.doubtful_rows[record.id] = record
+            else:
+                self.put(record)
+        known_ids = {*self.engines, *self.doubtful_rows}
+        for engine_id in sorted(known_ids - present_ids):
             self.remove(engine_id, now)
 
     def expire(self, now: float) -> list[str]:
@@ -260,6 +280,9 @@
         ]
         for engine_id in removed:
             self._remove_engine(engine_id)
+        if self.doubtful_rows and now >= self.restored_until:
+            for record in list(self.doubtful_rows.values()):
+                self.put(record)
         expired_keys = [
             key
             for key, suspension in self.suspended.items()
@@ -365,7 +388,11 @@
             self._invalidate_caches()
 
     def _remove_engine(self, engine_id: str) -> None:
-        self.engines.pop(engine_id, None)
+        engine = self.engines.pop(engine_id, None)
+        if engine is not None:
+            self.gone[engine_id] = engine.incarnation
+            if len(self.gone) > _MAX_GONE_ENGINES:
+                del self.gone[next(iter(self.gone))]
         self.observations.pop(engine_id, None)
         self.pending_removals.pop(engine_id, None)
         self.silent.pop(engine_id, None)
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -288,6 +288,36 @@
     assert not fleet.engines["e1"].is_leaving
 
 
+def test_an_engine_that_is_gone_returns_only_if_it_is_still_there():
+    record = hosted_fixtures.record("e1", incarnation=5)
+    for follows, is_back_at_once, is_back_later in (
+        (lambda fleet: fleet.put(record), True, True),
+        (lambda fleet: fleet.remove("e1", 2.0), False, False),
+        (lambda fleet: fleet.replace([record], 2.0), False, True),
+        (lambda fleet: fleet.replace([], 2.0), False, False),
+    ):
+        fleet = fleet_view.FleetView()
+        fleet.replace([record], 0.0)
+        fleet.replace([], 0.5)
+        fleet.mark_rows_restored(1.0)
+        fleet.replace([record], 1.1)
+        assert not fleet.engines
+        follows(fleet)
+        fleet.expire(2.1)
+        assert bool(fleet.engines) == is_back_at_once
+        fleet.expire(3.6)
+        assert bool(fleet.engines) == is_back_later
+
+
+def test_an_engine_that_started_again_is_not_taken_for_the_one_that_is_gone():
+    fleet = fleet_view.FleetView()
+    fleet.replace([hosted_fixtures.record("e1", incarnation=5)], 0.0)
+    fleet.replace([], 0.5)
+    fleet.mark_rows_restored(1.0)
+    fleet.replace([hosted_fixtures.record("e1", incarnation=6)], 1.1)
+    assert fleet.engines["e1"].incarnation == 6
+
+
 def _routes(*names):
     return tuple(
         hosted_fixtures.route(
