Let suspects of two deaths explain those of a part that all share

Suspects of two deaths explain deaths in a verdict now. Messages still put those deaths first that only suspects of three don't explain, since one of two may be in the same request as the suspect and then explains none; so a receiver's verdict is not more lenient.

--- a/tamarackpier/quarantine.py
+++ b/tamarackpier/quarantine.py
@@ -279,7 +279,9 @@
         deaths = self.counted_deaths(suspect, now)
         if len(deaths) < self.crash_threshold:
             return Verdict.RUN
-        unexplained = self._unexplained_deaths(deaths, contained, now)
+        unexplained = self._unexplained_deaths(
+            deaths, contained, now, min(_REPEATED, self.crash_threshold)
+        )
         # One death by chance, of an upstream that ran the suspect without the
         # others, must not incriminate it.
         if len(unexplained) < max(1, self.crash_threshold - 1):
@@ -319,7 +321,11 @@
         )
 
     def _unexplained_deaths(
-        self, deaths: set[str], contained: set[str], now: float
+        self,
+        deaths: set[str],
+        contained: set[str],
+        now: float,
+        min_explained: int,
     ) -> set[str]:
         """Returns the deaths that no few suspects outside a request explain.
 
@@ -330,13 +336,14 @@
             deaths: Deaths of a suspect that the request contains.
             contained: All fingerprints of the request.
             now: Monotonic time in seconds.
+            min_explained: Number of deaths from which a suspect explains them.
         """
         others = set().union(*(self.suspects[death] for death in deaths))
         explanations = [
             other_deaths
             for other in (others & self.repeated) - contained
             if len(other_deaths := self.counted_deaths(other, now))
-            >= self.crash_threshold
+            >= min_explained
         ]
         unexplained = deaths
         for _ in range(min(_MAX_EXPLANATIONS, len(explanations))):
@@ -472,10 +479,13 @@
         """Returns counted deaths of a suspect, with their times.
 
         Those that other suspects don't explain come first: without them, the
-        receiver's verdict would be more lenient.
+        receiver's verdict would be more lenient. A suspect of few deaths may
+        be in the same request, and then explains none.
         """
         deaths = self.counted_deaths(suspect, now)
-        unexplained = self._unexplained_deaths(deaths, {suspect}, now)
+        unexplained = self._unexplained_deaths(
+            deaths, {suspect}, now, self.crash_threshold
+        )
         times = self.crashes[suspect]
         return heapq.nsmallest(
             _MAX_DEATHS_SENT,
