Bound what the era and engine rows may claim

Measured: the tests of eras and of the follower fail without the change (the follower never lets go of the event loop: ended after 8 s), as does that of fencing numbers with such a row; all pass with it.

--- a/tamarackpier/daemon/store_watch.py
+++ b/tamarackpier/daemon/store_watch.py
@@ -101,7 +101,8 @@
     ) -> None:
         fault = read_result.failure()
         self.metrics.count("store_error", fault.code.name)
-        if fault.code is codes.TABLE_HISTORY_LOST:
+        has_position = self._last_version is not None
+        if fault.code is codes.TABLE_HISTORY_LOST and has_position:
             logs.event(
                 "history lost",
                 table=self.table,
--- a/tamarackpier/daemon/zone_lease.py
+++ b/tamarackpier/daemon/zone_lease.py
@@ -38,6 +38,8 @@
 # Covers the replicas that the previous planner formed after its last claim.
 _FENCE_MARGIN = 4096
 _MIN_SUSPENSION_S = 0.05  # Smaller differences come from reading two clocks.
+# Higher numbers in engine rows were not given out by any planner.
+_MAX_FENCE = 1 << 52
 _UNKNOWN_VERSION = -1  # Row version of the record of an unleased takeover.
 
 # Faults after which the store counts as unreachable.
@@ -339,6 +341,7 @@
             for engine in self.fleet.engines.values()
             if engine.membership is not None
             and engine.availability_zone == self.zone
+            and engine.membership.key.fence <= _MAX_FENCE
         ]
         claimed_fence = self._claims.fences.get(self.zone, 0)
         return max([claimed_fence - 1, self.next_fence() - 1, 0, *fences])
--- a/tamarackpier/platform/decode.py
+++ b/tamarackpier/platform/decode.py
@@ -10,7 +10,7 @@
 
 from tamarackpier import codes, failures
 from tamarackpier.fleet import model as fleet_model
-from tamarackpier.platform import wire
+from tamarackpier.platform import interfaces, wire
 from tamarackpier.routing import model
 
 __all__ = [
@@ -46,12 +46,14 @@
     """Returns the store's era; 0 for a store that names none.
 
     Raises:
-        ValueError: The text is not a number.
+        ValueError: The text is not a number that fits into a version.
     """
     if text is None:
         return 0
-    if not text.isdigit():
-        raise ValueError(f"store era is not a number: {text!r}")
+    if not text.isdecimal() or not int(text) <= interfaces.MAX_ERA:
+        raise ValueError(
+            f"store era is not a number up to {interfaces.MAX_ERA}: {text!r}"
+        )
     return int(text)
 
 
--- a/tamarackpier/platform/interfaces.py
+++ b/tamarackpier/platform/interfaces.py
@@ -15,6 +15,7 @@
     "InstanceKind",
     "InstanceList",
     "ListedInstance",
+    "MAX_ERA",
     "Objects",
     "Row",
     "Table",
@@ -31,6 +32,7 @@
 # A store that is restored from a copy gives out its versions again, so versions
 # are compared together with the number of restores, in their upper bits.
 _STORE_VERSION_BITS = 48
+MAX_ERA = (1 << (63 - _STORE_VERSION_BITS)) - 1  # Versions fit into 63 bits.
 
 
 def position(era: int, version: int) -> int:
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -3,13 +3,19 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 import time
 
 import aiohttp
 from returns import pipeline
 
-from tamarackpier import codes, metrics, quarantine
-from tamarackpier.daemon import quarantine_store, serving, zone_lease
+from tamarackpier import codes, failures, metrics, quarantine
+from tamarackpier.daemon import (
+    quarantine_store,
+    serving,
+    store_watch,
+    zone_lease,
+)
 from tamarackpier.fleet import fleet_view
 from tamarackpier.peer import zone_claims
 from tamarackpier.platform import encode, interfaces, store, wire
@@ -198,7 +204,8 @@
             (zone_claims.ZoneClaims(fences={"zone-0": used + 1}), []),
             (
                 zone_claims.ZoneClaims(),
-                hosted_fixtures.replica_records("r9", used),
+                hosted_fixtures.replica_records("r9", used)
+                + hosted_fixtures.replica_records("r8", 1 << 80),
             ),
         ):
             node.fleet.replace(
@@ -215,7 +222,7 @@
             )
             lease, _ = _lease(rows, node, time.monotonic)
             await _until_planning(lease, claims)
-            assert lease.first_fence > used
+            assert used < lease.first_fence < 1 << 60
             await lease.release()
 
     _run(check)
@@ -504,3 +511,47 @@
         assert ("quarantine", "bad") not in standin.rows
 
     _run(check)
+
+
+def test_an_era_that_is_no_number_makes_no_answer():
+    async def check(standin, rows):
+        for era in ("x", "-1", "\u00b2", "9" * 30):
+            standin.era = era
+            snapshot = await rows.snapshot("servers")
+            assert snapshot.failure().code is codes.TABLE_UNAVAILABLE, era
+        standin.era = 3
+        assert pipeline.is_successful(await rows.snapshot("servers"))
+
+    _run(check)
+
+
+def test_a_follower_does_not_ask_at_once_when_a_snapshot_fails():
+    class OtherEra:
+        """A store whose answers are all of an earlier era."""
+
+        calls = 0
+
+        async def snapshot(self, table):
+            self.calls += 1
+            return failures.failure(codes.TABLE_HISTORY_LOST, "era 1")
+
+    async def check():
+        watch = OtherEra()
+        follower = store_watch.TableFollower(
+            "servers",
+            watch,
+            lambda changes: None,
+            lambda changes: None,
+            lambda: None,
+            lambda: None,
+            lambda: 0.0,
+            metrics.Metrics(),
+            random.Random(1),
+            time.monotonic,
+        )
+        task = asyncio.ensure_future(follower.run())
+        await asyncio.sleep(0.5)
+        task.cancel()
+        assert 2 <= watch.calls < 20
+
+    asyncio.run(check())
