--- a/tests/process_faults.py
+++ b/tests/process_faults.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import random
 import signal
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -13,9 +14,10 @@
 from tamarackpier import registry
 from tamarackpier.standin import link
 
-__all__ = ["FAULTS"]
+__all__ = ["FAULTS", "restore_store"]
 
 Fault = Callable[[Any], Awaitable[None]]
+_RESTORES = 3
 FAULTS: registry.Registry[Fault] = registry.Registry("process fault")
 
 
@@ -130,3 +132,17 @@
     for _ in range(soak.rng.choice((1, 1, 3))):
         soak.configure()
         await asyncio.sleep(soak.rng.uniform(0, 0.2))
+
+
+async def restore_store(soak, seconds):
+    """Restores the store from a copy a few times within `seconds`.
+
+    It is no fault in `FAULTS`, so that seeds draw the same faults as before.
+    """
+    rng = random.Random(soak.seed + 2)
+    for _ in range(_RESTORES):
+        copy = soak.platform.store.copy()
+        await asyncio.sleep(rng.uniform(0.3, seconds / _RESTORES))
+        soak.platform.restore(copy)
+        soak.configure()
+        soak.report.faults["store_restored"] += 1
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -4,8 +4,9 @@
 their own; the platform stand-in and the callers run in this process. The links
 between them are delayed, silenced, cut in one direction and reset; entry
 processes are stopped, paused, killed and restarted; the row store refuses
-calls, loses answers and drops its history. The answers that callers get and
-the requests that engines run are checked against what the entry guarantees.
+calls, loses answers, drops its history and, with `--restores`, comes back from
+older copies. The answers that callers get and the requests that engines run are
+checked against what the entry guarantees.
 
 Faults start one after another and may overlap. After all of them have ended,
 callers begin to send a request that crashes engines, again and again, and
@@ -113,6 +114,7 @@
         request_numbers: Numbers of requests, for their IDs.
         refused_ids: IDs of the orders that were refused.
         order_ids: IDs of all orders sent.
+        restores_store: Whether the store comes back from older copies.
         is_restarting: Whether the rolling restart is in progress.
         is_over: Whether the run has ended.
         running_faults: Tasks of the faults in progress.
@@ -120,8 +122,9 @@
         client: HTTP session of the callers, while the run lasts.
     """
 
-    def __init__(self, seed, count, folder):
+    def __init__(self, seed, count, folder, restores_store=False):
         self.seed = seed
+        self.restores_store = restores_store
         self.rng = random.Random(seed)
         self.folder = folder
         self.report = Report()
@@ -256,6 +259,8 @@
 
     async def _inject_faults(self, seconds):
         ends_at = time.monotonic() + seconds
+        if self.restores_store:
+            self.start_fault(process_faults.restore_store(self, seconds))
         while time.monotonic() < ends_at:
             name = self.rng.choice(sorted(process_faults.FAULTS))
             self.report.faults[name] += 1
@@ -617,16 +622,19 @@
             await soak.stop([])
 
 
-def run(seed: int, seconds: float, count: int) -> Report:
+def run(
+    seed: int, seconds: float, count: int, restores_store: bool = False
+) -> Report:
     """Plays one seed; keeps the logs of the instances after a violation.
 
     Args:
         seed: Seed of the run, which decides the faults and their times.
         seconds: Duration of the phase in which faults start, in seconds.
         count: Number of entry instances.
+        restores_store: Whether the store comes back from copies meanwhile.
     """
     with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, count, pathlib.Path(folder))
+        soak = Soak(seed, count, pathlib.Path(folder), restores_store)
         report = asyncio.run(soak.run(seconds))
         if report.violations:
             log_folder = pathlib.Path(tempfile.gettempdir()) / f"soak-{seed}"
@@ -650,11 +658,16 @@
     help="Duration of the phase in which faults start, in seconds.",
 )
 @click.option("--instances", default=3, help="Number of entry instances.")
-def main(seed: int, runs: int, seconds: float, instances: int) -> None:
+@click.option(
+    "--restores", is_flag=True, help="Restores the store from copies as well."
+)
+def main(
+    seed: int, runs: int, seconds: float, instances: int, restores: bool
+) -> None:
     """Injects random faults into real entry processes."""
     failed_seeds = []
     for run_seed in range(seed, seed + runs):
-        report = run(run_seed, seconds, instances)
+        report = run(run_seed, seconds, instances, restores)
         if report.violations:
             failed_seeds.append(run_seed)
         click.echo(
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -14,9 +14,9 @@
 
 
 # 422: an instance that had just started let a crashing request run.
-@params(1, 422)
-def test_real_processes_keep_their_promises_under_random_faults(seed):
-    report = process_soak.run(seed, SHORT_S, INSTANCES)
+@params((1, False), (422, False), (2, True))
+def test_real_processes_keep_their_promises_under_random_faults(seed, restores):
+    report = process_soak.run(seed, SHORT_S, INSTANCES, restores)
     assert not report.violations, report.violations
     assert report.outcomes["draft 200"] and report.outcomes["order 200"]
 
