A deeply nested document is malformed, and ends no reader

Cause: json.loads raises RecursionError for a document that is nested some 1,000 deep; it is no ValueError, so decoding didn't catch it.

RecursionError now counts among the errors of malformed documents, also in the store's responses, in sheets and in what engines stream and report.

Before: test_instances_follow_engine_rows_beside_one_that_is_deeply_nested failed after 16 s (condition did not become true in time). Now it passes.

--- a/tamarackpier/failures.py
+++ b/tamarackpier/failures.py
@@ -8,11 +8,13 @@
 
 __all__ = ["MALFORMED", "describe", "failure"]
 
-# Exceptions that decoding may raise if a document has an unexpected structure.
+# Exceptions that decoding may raise if a document has an unexpected structure;
+# `RecursionError` if it is nested too deeply.
 MALFORMED = (
     ArithmeticError,
     AttributeError,
     LookupError,
+    RecursionError,
     TypeError,
     ValueError,
 )
--- a/tamarackpier/platform/store.py
+++ b/tamarackpier/platform/store.py
@@ -351,7 +351,7 @@
         return failures.failure(codes.TABLE_UNAVAILABLE, f"HTTP {status}")
     try:
         document = json.loads(response.body)
-    except ValueError as error:
+    except failures.MALFORMED as error:
         return failures.failure(
             codes.TABLE_UNAVAILABLE, f"response is not valid JSON: {error}"
         )
--- a/tamarackpier/request/stream.py
+++ b/tamarackpier/request/stream.py
@@ -129,7 +129,13 @@
                 parts.append(choice["delta"].get("content", ""))
             else:
                 parts.append(choice["text"])
-        except (ValueError, KeyError, IndexError, TypeError) as error:
+        except (
+            ValueError,
+            KeyError,
+            IndexError,
+            RecursionError,
+            TypeError,
+        ) as error:
             raise StreamError(f"malformed piece: {error}") from error
     return "".join(parts)
 
--- a/tamarackpier/sheet/codec.py
+++ b/tamarackpier/sheet/codec.py
@@ -27,7 +27,7 @@
         document: Any = json.loads(data)
         rows = tuple(model.SheetRow(*cells) for cells in document["rows"])
         return model.Sheet(int(document["version"]), rows)
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, RecursionError, TypeError, ValueError) as error:
         raise ValueError(f"invalid sheet encoding: {error}") from error
 
 
--- a/tamarackpier/upstream/engine.py
+++ b/tamarackpier/upstream/engine.py
@@ -193,7 +193,7 @@
             return failures.failure(
                 codes.UPSTREAM_UNREACHABLE, failures.describe(error)
             )
-        except ValueError as error:
+        except (RecursionError, ValueError) as error:
             return failures.failure(codes.BAD_UPSTREAM_DATA, str(error))
         return report_from_json(document, instance_id, now)
 
