Engine rows with values that no engine can have are refused

An entry of another writer was accepted if its fields had the right types. A port of 70000 then raised ValueError out of the attempt that chose the engine: the caller got 500, outcome unknown, for a request that may run once. A number of 400 digits or a lone surrogate raised out of the status message to peers, so that an instance fell silent towards all of them, and a line break in an ID out of the headers to the engine.

Rows and reports are now decoded into names that are printable and have at most 200 bytes, addresses with the IP address of one host and a port from 1 to 65535, and whole numbers within bounds. Any other row names no engine; the others hold.

--- a/tamarackpier/platform/decode.py
+++ b/tamarackpier/platform/decode.py
@@ -1,6 +1,7 @@
 """Decodes the platform's JSON documents, once, into the project's types."""
 
 import base64
+import ipaddress
 import json
 import math
 from collections.abc import Callable, Mapping
@@ -24,6 +25,13 @@
 
 T = TypeVar("T")
 _S_PER_MS = 1e-3
+# Longest name, in bytes; the store's limit on keys, into which names enter.
+_MAX_NAME_BYTES = 200
+_MAX_PORT = 65_535
+# Largest count in messages to peers, whose fields hold 32 bits.
+_MAX_COUNT = (1 << 31) - 1
+# Largest whole number that every writer of JSON keeps exact.
+_MAX_WHOLE_NUMBER = 1 << 53
 _ROUTE_KINDS = {
     "idempotent": model.RouteKind.IDEMPOTENT,
     "non_idempotent": model.RouteKind.ONCE,
@@ -175,18 +183,13 @@
     state = document["state"]
     if state not in (wire.EngineRowState.READY, wire.EngineRowState.DRAINING):
         raise ValueError(f"unknown engine state {state!r}")
-    host, _, port = _string(document["address"]).rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(
-            f"engine address is not HOST:PORT: {document['address']!r}"
-        )
     return fleet_model.EngineRecord(
-        engine_id,
-        _string(document["service"]),
-        _string(document["address"]),
-        _string(document["zone"]),
-        _string(document.get("domain") or ""),
-        _integer(document["slots"]),
+        _name(engine_id),
+        _name(document["service"]),
+        _address(document["address"]),
+        _name(document["zone"]),
+        _name(document.get("domain") or "", 0),
+        _integer(document["slots"], 1, _MAX_COUNT),
         state == wire.EngineRowState.DRAINING,
         _integer(document.get("born", 0)),
         _model_in_use(document),
@@ -197,11 +200,11 @@
 
 def _model_in_use(document: Mapping[str, Any]) -> str:
     models = document.get("models") or ()
-    return _string(models[0]["name"]) if models else ""
+    return _name(models[0]["name"]) if models else ""
 
 
 def _staged_models(document: Mapping[str, Any]) -> tuple[str, ...]:
-    return tuple(_string(name) for name in document.get("staged") or ())
+    return tuple(_name(name) for name in document.get("staged") or ())
 
 
 def _membership(
@@ -211,22 +214,63 @@
         return None
     return fleet_model.Membership(
         fleet_model.ReplicaKey(
-            _string(document["name"]), _integer(document["epoch"])
+            _name(document["name"]), _integer(document["epoch"])
         ),
-        _integer(document["rank"]),
+        _integer(document["rank"], 0, _MAX_COUNT),
         fleet_model.MemberState(document["state"]),
     )
 
 
-def _string(value: object) -> str:
+def _name(value: object, min_bytes: int = 1) -> str:
+    """Returns a name that fits into headers, keys and messages to peers.
+
+    Raises:
+        TypeError: The value is not a string.
+        ValueError: It is too long or too short, or not printable; a lone
+            surrogate is not printable either.
+    """
     if not isinstance(value, str):
-        raise TypeError(f"expected a string, got {value!r}")
+        raise TypeError(f"expected a string, got {value!r:.100}")
+    if not value.isprintable():
+        raise ValueError(f"name is not printable: {value!r:.100}")
+    if not min_bytes <= len(value.encode()) <= _MAX_NAME_BYTES:
+        raise ValueError(
+            f"name has not {min_bytes} to {_MAX_NAME_BYTES} bytes:"
+            f" {value!r:.100}"
+        )
     return value
 
 
-def _integer(value: object) -> int:
+def _address(value: object) -> str:
+    """Returns an engine's address, to which connections can be opened.
+
+    Raises:
+        TypeError: The value is not a string.
+        ValueError: It is not the IP address of one host and a port.
+    """
+    address = _name(value)
+    host, _, port = address.rpartition(":")
+    is_bracketed = host.startswith("[") and host.endswith("]")
+    ip = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
+    if (
+        is_bracketed != (ip.version == 6)
+        or "%" in host
+        or ip.is_unspecified
+        or ip.is_multicast
+    ):
+        raise ValueError(f"no host has this address: {address!r}")
+    if not (port.isascii() and port.isdecimal() and 0 < int(port) <= _MAX_PORT):
+        raise ValueError(f"address has no valid port: {address!r}")
+    return address
+
+
+def _integer(
+    value: object, lowest: int = 0, highest: int = _MAX_WHOLE_NUMBER
+) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f"expected an integer, got {value!r}")
+        raise TypeError(f"expected an integer, got {value!r:.100}")
+    if not lowest <= value <= highest:
+        raise ValueError(f"expected an integer from {lowest} to {highest}")
     return value
 
 
