A row that can't be decoded hides no other row of its table

A key with a lone surrogate raised UnicodeEncodeError in the instance that peers follow, so that all of them read the store instead; a value that is no JSON raised out of a scan, whose caller then had no rows at all.

Changes leave out rows whose key can't be encoded, and a scan leaves out rows that can't be decoded; both say so in the log, within its rate limit.

Before: test_an_engine_row_with_an_odd_key_does_not_stop_peers_that_follow failed ('assert len(followers()) == 2', UnicodeEncodeError in FollowEngines), and test_a_row_that_cannot_be_decoded_hides_no_other_row_of_a_scan raised binascii.Error.

--- a/tamarackpier/platform/decode.py
+++ b/tamarackpier/platform/decode.py
@@ -15,12 +15,15 @@
 from tamarackpier.routing import model
 
 __all__ = [
+    "address",
     "configuration",
     "engine_record",
     "engine_report",
     "request_rate",
+    "row_key",
     "row_value",
     "store_era",
+    "times_by_name",
 ]
 
 T = TypeVar("T")
@@ -39,6 +42,18 @@
 }
 
 
+def row_key(text: object) -> str:
+    """Returns a row's key.
+
+    Raises:
+        ValueError: The key is no text that can be encoded.
+    """
+    if not isinstance(text, str):
+        raise ValueError("row key is not a string")
+    text.encode()
+    return text
+
+
 def row_value(text: object) -> bytes:
     """Returns the bytes of a row's value.
 
@@ -50,6 +65,19 @@
     return base64.b64decode(text, validate=True)
 
 
+def times_by_name(document: Any) -> dict[str, float]:
+    """Returns the times in a row's field, by name, in seconds.
+
+    Raises:
+        AttributeError, OverflowError, TypeError, ValueError: The field holds
+            something else.
+    """
+    times = {_name(name): float(at) for name, at in document.items()}
+    if not all(math.isfinite(at) for at in times.values()):
+        raise ValueError("a time is not finite")
+    return times
+
+
 def store_era(text: str | None) -> int:
     """Returns the store's era; 0 for a store that names none.
 
@@ -186,7 +214,7 @@
     return fleet_model.EngineRecord(
         _name(engine_id),
         _name(document["service"]),
-        _address(document["address"]),
+        address(document["address"]),
         _name(document["zone"]),
         _name(document.get("domain") or "", 0),
         _integer(document["slots"], 1, _MAX_COUNT),
@@ -241,15 +269,15 @@
     return value
 
 
-def _address(value: object) -> str:
-    """Returns an engine's address, to which connections can be opened.
+def address(value: object) -> str:
+    """Returns an address to which connections can be opened.
 
     Raises:
         TypeError: The value is not a string.
         ValueError: It is not the IP address of one host and a port.
     """
-    address = _name(value)
-    host, _, port = address.rpartition(":")
+    text = _name(value)
+    host, _, port = text.rpartition(":")
     is_bracketed = host.startswith("[") and host.endswith("]")
     ip = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
     if (
@@ -258,10 +286,10 @@
         or ip.is_unspecified
         or ip.is_multicast
     ):
-        raise ValueError(f"no host has this address: {address!r}")
+        raise ValueError(f"no host has this address: {text!r}")
     if not (port.isascii() and port.isdecimal() and 0 < int(port) <= _MAX_PORT):
-        raise ValueError(f"address has no valid port: {address!r}")
-    return address
+        raise ValueError(f"address has no valid port: {text!r}")
+    return text
 
 
 def _integer(
--- a/tamarackpier/platform/store.py
+++ b/tamarackpier/platform/store.py
@@ -10,7 +10,7 @@
 import aiohttp
 from returns import pipeline, result
 
-from tamarackpier import codes, failures
+from tamarackpier import codes, failures, logs
 from tamarackpier.platform import decode, interfaces, wire
 
 __all__ = ["RowStore"]
@@ -22,6 +22,7 @@
 _PAGE_ROWS = 500  # Maximum number of rows in one response.
 # Time beyond the requested wait after which a long poll has timed out.
 _FEED_TIMEOUT_MARGIN_S = 1.5
+_MAX_LOGGED = 200  # Characters of an error about a row that are logged.
 
 
 @dataclasses.dataclass(frozen=True)
@@ -114,18 +115,13 @@
     async def scan(
         self, prefix: str
     ) -> result.Result[dict[str, interfaces.Row], codes.Fault]:
-        """Reads all rows whose key starts with a prefix `TABLE/START`."""
+        """Reads all rows whose key starts with a prefix `TABLE/START`.
+
+        Rows whose key or value can't be decoded are left out.
+        """
         table, _, start = prefix.partition("/")
         page_result = await self._read_table(table)
-        return page_result.map(
-            lambda page: {
-                f"{table}/{row['key']}": _decode_row(
-                    f"{table}/{row['key']}", row, page.era
-                )
-                for row in page.document["rows"]
-                if row["key"].startswith(start)
-            }
-        )
+        return page_result.bind(lambda page: _decode_table(table, start, page))
 
     async def transact(
         self, transaction: interfaces.Transaction
@@ -312,12 +308,51 @@
             return _Response(response.status, data, era)
 
 
+def _decode_table(
+    table: str, start: str, page: _Page
+) -> result.Result[dict[str, interfaces.Row], codes.Fault]:
+    """Returns the rows of a table whose keys start with `start`."""
+    rows = {}
+    try:
+        for document in page.document["rows"]:
+            if not _has_valid_key(document):
+                continue
+            if not document["key"].startswith(start):
+                continue
+            key = f"{table}/{document['key']}"
+            try:
+                rows[key] = _decode_row(key, document, page.era)
+            except failures.MALFORMED as error:
+                logs.decision(
+                    "row unreadable",
+                    key=key,
+                    detail=failures.describe(error)[:_MAX_LOGGED],
+                )
+    except failures.MALFORMED as error:
+        return _malformed_failure(error)
+    return result.Success(rows)
+
+
+def _has_valid_key(row: dict[str, Any]) -> bool:
+    """Returns whether a row's key can be encoded; logs it if not."""
+    try:
+        decode.row_key(row["key"])
+    except ValueError as error:
+        logs.decision(
+            "row key unreadable", detail=failures.describe(error)[:_MAX_LOGGED]
+        )
+        return False
+    return True
+
+
 def _decode_changes(
     page: _Page,
 ) -> result.Result[interfaces.Changes, codes.Fault]:
     try:
         rows = tuple(
-            _decode_change(row, page.era) for row in page.document["rows"]
+            _decode_change(row, page.era)
+            for row in page.document["rows"]
+            if _has_valid_key(row)
         )
         version = interfaces.position(page.era, int(page.document["ver"]))
     except failures.MALFORMED as error:
