An odd registration or suspect ends no job

A registration of another writer that is no JSON object, or that names no address, ended the task that registers an instance, without a log line: the instance knew no peers, and so neither shared limits nor followed rows. A suspect's row of that kind ended each run of the quarantine's job, which then wrote and read nothing. Both are now left out and logged.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -11,7 +11,7 @@
 from absl import logging
 from returns import pipeline
 
-from tamarackpier import hosted_settings, logs, metrics
+from tamarackpier import failures, hosted_settings, logs, metrics
 from tamarackpier.daemon import (
     caller_app,
     catch_up,
@@ -31,7 +31,7 @@
 from tamarackpier.fleet import fleet_view
 from tamarackpier.peer import membership
 from tamarackpier.peer import roster as roster_lib
-from tamarackpier.platform import engines, interfaces, store, wire
+from tamarackpier.platform import decode, engines, interfaces, store, wire
 from tamarackpier.routing import table
 from tamarackpier.traffic import factory, relay, stopping
 from tamarackpier.wire import entry_pb2_grpc
@@ -51,6 +51,8 @@
 _PEER_READ_INTERVAL_S = 0.1  # Batches the rows that change meanwhile.
 _CONFIGURATION_READ_INTERVAL_S = 0.1
 _INSTANCES_TABLE = "instance"
+_PEER_ADDRESS_FIELD = "peer_address"
+_MAX_LOGGED = 200  # Characters of an error about a row that are logged.
 # Name under which the fleet view records that engine rows cannot be read.
 _ROWS_COMPONENT = "engines' rows"
 _MS_PER_S = 1000
@@ -548,7 +550,7 @@
         """
         own_presence = self.roster.own_presence
         key = f"{_INSTANCES_TABLE}/{own_presence.id}"
-        value = {"peer_address": own_presence.peer_address}
+        value = {_PEER_ADDRESS_FIELD: own_presence.peer_address}
         write = interfaces.Transaction((), (interfaces.Write(key, value),))
         while True:
             write_result = await self.rows.transact(write)
@@ -558,17 +560,24 @@
             ):
                 break
             await asyncio.sleep(self.rng.uniform(0.2, 0.6))
-        self._registered_count = len(scan_result.unwrap())
-        self.peers.contacts = tuple(
-            {
-                *self.peers.contacts,
-                *(
-                    str(row.value["peer_address"])
-                    for row in scan_result.unwrap().values()
-                    if row.value
-                ),
-            }
+        registered = {
+            _registered_address(row) for row in scan_result.unwrap().values()
+        } - {""}
+        self._registered_count = len(registered)
+        self.peers.contacts = tuple({*self.peers.contacts, *registered})
+
+
+def _registered_address(row: interfaces.Row) -> str:
+    """Returns the peer address in a registration; empty if it has none."""
+    try:
+        return decode.address((row.value or {})[_PEER_ADDRESS_FIELD])
+    except failures.MALFORMED as error:
+        logs.event(
+            "registration unreadable",
+            key=row.key,
+            detail=failures.describe(error)[:_MAX_LOGGED],
         )
+        return ""
 
 
 def create_instance(
--- a/tamarackpier/daemon/quarantine_store.py
+++ b/tamarackpier/daemon/quarantine_store.py
@@ -8,9 +8,9 @@
 
 from returns import pipeline
 
-from tamarackpier import logs, metrics
+from tamarackpier import failures, logs, metrics
 from tamarackpier import quarantine as quarantine_lib
-from tamarackpier.platform import interfaces
+from tamarackpier.platform import decode, interfaces
 
 __all__ = ["QuarantineStore"]
 
@@ -19,6 +19,7 @@
 # Rows kept in the store. More requests than that are refused only by the
 # instances that know them.
 _MAX_ROWS = 256
+_MAX_LOGGED = 200  # Characters of an error about a row that are logged.
 _RETRY_S = 2.0  # Calls to the store are charged.
 
 
@@ -94,17 +95,21 @@
         return True
 
     def _load_row(self, fingerprint: str, row: interfaces.Row) -> None:
-        deaths = (row.value or {}).get(_DEATHS_FIELD)
-        if not isinstance(deaths, dict):
-            logs.event("quarantine row unreadable", fingerprint=fingerprint)
-            return
         now, unix_now = self.clock(), self.wall_clock()
+        try:
+            deaths = decode.times_by_name((row.value or {})[_DEATHS_FIELD])
+        except failures.MALFORMED as error:
+            logs.event(
+                "quarantine row unreadable",
+                fingerprint=fingerprint,
+                detail=failures.describe(error)[:_MAX_LOGGED],
+            )
+            return
         crashes = [
             quarantine_lib.Crash(
-                fingerprint, str(death), now - max(0.0, unix_now - float(at))
+                fingerprint, death, now - max(0.0, unix_now - at)
             )
             for death, at in deaths.items()
-            if isinstance(at, int | float)
         ]
         self.quarantine.add(crashes)
         self.stored[fingerprint] = len(crashes)
