A planned stop passes on no request that it would cut off

Callers of an instance that stops saw their connection close without an answer after their request had been passed on, orders included. Three ways led there:

* A request taken shortly before the instance refuses kept its own time limit.
With an answer of 1.4 s and a grace of 2 s, an order sent 0.6 s after the stop began was cut at 1.9 s.
* Whether the instance refuses was checked when the head arrived.
A body that ended later was still passed on, and cut.
* A stream was begun even if its tokens take longer than the instance has.

A request is refused, surely not run, if its body ends after the instance refuses, or if its upstream isn't expected to finish it in what is left: another instance takes it at once. A stream that has begun and still runs at the end is cut, and may be resumed elsewhere.

--- a/tamarackpier/daemon/caller_app.py
+++ b/tamarackpier/daemon/caller_app.py
@@ -1,7 +1,6 @@
 """The ASGI application that serves the requests of callers."""
 
 import asyncio
-import dataclasses
 import time
 from collections.abc import Callable
 
@@ -15,23 +14,6 @@
 
 __all__ = ["CallerApp"]
 
-# Short, because another instance accepts the request at once.
-_LEAVING_RETRY_AFTER_S = 0.05
-
-
-@dataclasses.dataclass
-class StopState:
-    """State of a planned stop.
-
-    Attributes:
-        closes_connections: Whether answers ask callers to close the
-            connection.
-        refuses_requests: Whether new requests are refused.
-    """
-
-    closes_connections: bool = False
-    refuses_requests: bool = False
-
 
 class CallerApp:
     """Serves the requests of callers.
@@ -40,7 +22,8 @@
         relay: Runs requests.
         metrics: Counters and latencies of requests.
         clock: Returns the monotonic time, in seconds.
-        state: State of a planned stop.
+        closes_connections: Whether answers ask callers to close the
+            connection, because the instance stops.
     """
 
     def __init__(
@@ -52,7 +35,7 @@
         self.relay = requests
         self.metrics = counts
         self.clock = clock
-        self.state = StopState()
+        self.closes_connections = False
 
     async def __call__(
         self, scope: http.Scope, receive: http.Receive, send: http.Send
@@ -61,7 +44,7 @@
         target = scope["state"][serving.TARGET_KEY]
         request = edge.decode_request(scope, target, self.clock())
         caller = serving.AsgiCaller(
-            scope, receive, send, lambda: self.state.closes_connections
+            scope, receive, send, lambda: self.closes_connections
         )
         self.metrics.count("request")
         answer_task = asyncio.ensure_future(self._answer(request, caller))
@@ -93,11 +76,11 @@
         self, request: model.Request, caller: serving.AsgiCaller
     ) -> None:
         try:
-            if self.state.refuses_requests:
+            if self.relay.refuses_requests:
                 fault = codes.fault(
                     codes.LEAVING,
                     "instance is shutting down; resolve the addresses again",
-                    retry_after_s=_LEAVING_RETRY_AFTER_S,
+                    retry_after_s=relay.LEAVING_RETRY_AFTER_S,
                 )
                 await self._refuse(request, caller, fault)
                 return
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -343,12 +343,15 @@
     async def leave(self) -> None:
         """Stops gracefully: directs callers to other instances and drains.
 
-        Requests still in flight at the end of the grace period are cut off.
+        Requests in flight get their final answer before the end of the grace
+        period; streams that have begun are cut off, and may be resumed
+        elsewhere.
         """
         grace_s = self.settings.bounds.stop_grace_s
         started_at = self.clock()
         self.is_leaving = True
-        self.caller_app.state.closes_connections = True
+        self.caller_app.closes_connections = True
+        self.relay.stop_at(stopping.answer_by(started_at, grace_s))
         self.roster.beat(self.is_ready, self.is_leaving)
         self.peers.start_exchanges(is_urgent=True)
         logs.event("leaving", in_flight=self.relay.in_flight)
@@ -365,7 +368,7 @@
                 self.clock() - started_at, grace_s, self.relay.in_flight
             )
             if phase is not stopping.StopPhase.SERVES:
-                self.caller_app.state.refuses_requests = True
+                self.relay.refuses_requests = True
         logs.event(
             "stopped",
             cut_off=self.relay.in_flight,
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import random
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
@@ -30,12 +31,19 @@
     rate_limits,
     score,
     selection,
+    stopping,
     stream_attempts,
 )
 from tamarackpier.traffic import run as run_lib
 from tamarackpier.upstream import gateway
 
-__all__ = ["RETRY_AFTER_REFUSAL_S", "STRATEGIES", "Relay", "RelaySettings"]
+__all__ = [
+    "LEAVING_RETRY_AFTER_S",
+    "RETRY_AFTER_REFUSAL_S",
+    "STRATEGIES",
+    "Relay",
+    "RelaySettings",
+]
 
 # Maximum number of attempts of one request, even if its route allows more.
 _MAX_SENDS = 4
@@ -44,6 +52,8 @@
 # Time reserved for sending a fault before the caller stops waiting.
 _ANSWER_SLACK_S = 0.02
 RETRY_AFTER_REFUSAL_S = 0.3
+# Short, because another instance accepts the request at once.
+LEAVING_RETRY_AFTER_S = 0.05
 # Number of instances that share the retry budget until peers are known.
 _ASSUMED_INSTANCES = 16
 _MIN_RETRY_AFTER_S = 0.7
@@ -119,6 +129,11 @@
         in_flight: Number of requests without a final answer.
         isolated_runs: Number of attempts in flight of suspects that may not
             run beside others.
+        stops_at: Time by which all requests have their final answer, since
+            this instance stops then, in seconds on the relay's clock; infinite
+            if no stop is planned.
+        refuses_requests: Whether requests that no engine runs yet are refused,
+            because this instance stops.
     """
 
     def __init__(
@@ -155,6 +170,9 @@
         self.started_at = clock()
         self.in_flight = 0
         self.isolated_runs = 0
+        self.stops_at = math.inf
+        self.refuses_requests = False
+        self._time_limits: dict[run_lib.Run, asyncio.Timeout] = {}
 
     async def handle(
         self, request: model.Request, connection: caller.Caller
@@ -175,7 +193,8 @@
         try:
             run = await self._admit(request, connection)
             strategy = STRATEGIES.get(run.route.kind.value)
-            async with asyncio.timeout_at(run.ends_at):
+            async with asyncio.timeout_at(run.ends_at) as time_limit:
+                self._time_limits[run] = time_limit
                 await strategy(self, run, connection)
         except run_lib.RefusedError as error:
             self._check_refusal(run, error.fault)
@@ -195,8 +214,23 @@
             )
         finally:
             self.in_flight -= 1
+            if run is not None:
+                self._time_limits.pop(run, None)
         return result.Success(None)
 
+    def stop_at(self, stops_at: float) -> None:
+        """Limits the time of all requests, those in flight included.
+
+        Args:
+            stops_at: Time by which they have their final answer, in seconds on
+                the relay's clock.
+        """
+        self.stops_at = stops_at
+        for run, time_limit in self._time_limits.items():
+            if run.ends_at > stops_at:
+                run.ends_at = stops_at
+                time_limit.reschedule(stops_at)
+
     def _check_refusal(
         self, run: run_lib.Run | None, fault: codes.Fault
     ) -> None:
@@ -258,6 +292,13 @@
         if routing is not None:
             limits = routing.configuration.limits
         body = await connection.body(limits.body_bytes, _BODY_TIMEOUT_S)
+        if self.refuses_requests:
+            raise run_lib.refusal(
+                codes.LEAVING,
+                "the request arrived completely when the instance was already"
+                " shutting down",
+                LEAVING_RETRY_AFTER_S,
+            )
         if routing is None:
             raise run_lib.refusal(
                 codes.NOT_CONFIGURED,
@@ -274,6 +315,7 @@
         ends_at = min(
             request.deadline - _ANSWER_SLACK_S,
             request.arrived_at + route.timeout_s,
+            self.stops_at,
         )
         account_name = account.name if account else ""
         content = b"\0".join((request.host.encode(), request.target, body))
@@ -378,6 +420,7 @@
         if available:
             chooser = selection.CHOOSERS.get(self.settings.chooser)
             chosen = chooser(available, criteria, self.rng)
+            self._check_time_left(run, chosen, spec, now)
             self.limits.take(chosen.engine)
             return chosen
         if untried:
@@ -393,6 +436,34 @@
             self._retry_after_s(),
         )
 
+    def _check_time_left(
+        self,
+        run: run_lib.Run,
+        chosen: selection.Candidate,
+        spec: routing_model.EngineSpec | None,
+        now: float,
+    ) -> None:
+        """Checks that a request can be expected to end before a planned stop.
+
+        Raises:
+            run_lib.RefusedError: It can't, and no engine has run it.
+        """
+        if run.may_have_run or self.stops_at == math.inf:
+            return
+        expected_s = chosen.expected_s
+        model_spec = spec.model(run.request.model) if spec else None
+        if spec is not None and model_spec is not None:
+            expected_s += selection.answer_s(
+                spec, model_spec, run.request.answer_tokens
+            )
+        if stopping.is_too_late(expected_s, now, self.stops_at):
+            raise run_lib.refusal(
+                codes.LEAVING,
+                f"instance ends in {self.stops_at - now:.1f} s, and the request"
+                f" would take {expected_s:.1f} s",
+                LEAVING_RETRY_AFTER_S,
+            )
+
     def _candidates_within_limits(
         self,
         run: run_lib.Run,
--- a/tamarackpier/traffic/selection.py
+++ b/tamarackpier/traffic/selection.py
@@ -178,6 +178,24 @@
     return model_spec.pace * spec.stride * step_s
 
 
+def answer_s(
+    spec: routing_model.EngineSpec,
+    model_spec: routing_model.ModelSpec,
+    answer_tokens: int,
+) -> float:
+    """Returns the time from a stream's first event to its end, in seconds.
+
+    All slots are assumed to be in use.
+
+    Args:
+        spec: Capacity and timing of the service's engines.
+        model_spec: Model that answers.
+        answer_tokens: Tokens to generate; 0 if the request does not say.
+    """
+    tokens = answer_tokens or spec.mean_answer_tokens
+    return event_interval_s(spec, model_spec) / spec.stride * tokens
+
+
 def first_event_s(
     spec: routing_model.EngineSpec,
     model_spec: routing_model.ModelSpec,
