--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -11,7 +11,7 @@
 from absl import logging
 from returns import pipeline
 
-from tamarackpier import hosted_settings, logs, metrics
+from tamarackpier import failures, hosted_settings, logs, metrics
 from tamarackpier.daemon import (
     caller_app,
     catch_up,
@@ -31,7 +31,7 @@
 from tamarackpier.fleet import fleet_view
 from tamarackpier.peer import membership
 from tamarackpier.peer import roster as roster_lib
-from tamarackpier.platform import engines, interfaces, store, wire
+from tamarackpier.platform import decode, engines, interfaces, store, wire
 from tamarackpier.routing import table
 from tamarackpier.traffic import factory, relay, stopping
 from tamarackpier.wire import entry_pb2_grpc
@@ -51,6 +51,8 @@
 _PEER_READ_INTERVAL_S = 0.1  # Batches the rows that change meanwhile.
 _CONFIGURATION_READ_INTERVAL_S = 0.1
 _INSTANCES_TABLE = "instance"
+_PEER_ADDRESS_FIELD = "peer_address"
+_MAX_LOGGED = 200  # Characters of an error about a row that are logged.
 # Name under which the fleet view records that engine rows cannot be read.
 _ROWS_COMPONENT = "engines' rows"
 _MS_PER_S = 1000
@@ -341,35 +343,50 @@
     async def leave(self) -> None:
         """Stops gracefully: directs callers to other instances and drains.
 
-        Requests still in flight at the end of the grace period are cut off.
+        Requests in flight get their final answer before the end of the grace
+        period; streams that have begun are cut off, and may be resumed
+        elsewhere.
         """
         grace_s = self.settings.bounds.stop_grace_s
         started_at = self.clock()
         self.is_leaving = True
-        self.caller_app.state.closes_connections = True
+        self.caller_app.closes_connections = True
+        self.relay.stop_at(stopping.answer_by(started_at, grace_s))
         self.roster.beat(self.is_ready, self.is_leaving)
         self.peers.start_exchanges(is_urgent=True)
         logs.event("leaving", in_flight=self.relay.in_flight)
-        await asyncio.gather(
-            *(
-                controller.release()
-                for controller in self.zone_controllers.values()
-            )
-        )
+        release = asyncio.ensure_future(self._release_zones())
         phase = stopping.StopPhase.SERVES
         while phase is not stopping.StopPhase.ENDS:
             await asyncio.sleep(_TICK_S)
             phase = stopping.stop_phase(
-                self.clock() - started_at, grace_s, self.relay.in_flight
+                self.clock() - started_at,
+                grace_s,
+                self.relay.in_flight + (not release.done()),
             )
             if phase is not stopping.StopPhase.SERVES:
-                self.caller_app.state.refuses_requests = True
+                self.relay.refuses_requests = True
+        release.cancel()
         logs.event(
             "stopped",
             cut_off=self.relay.in_flight,
             took_s=round(self.clock() - started_at, 3),
         )
 
+    async def _release_zones(self) -> None:
+        """Lets other instances plan the zones that this one plans."""
+        outcomes = await asyncio.gather(
+            *(
+                controller.release()
+                for controller in self.zone_controllers.values()
+            ),
+            return_exceptions=True,
+        )
+        for outcome in outcomes:
+            if isinstance(outcome, Exception):
+                self.metrics.count("work_error", "release")
+                logging.error("lease not released: %r", outcome)
+
     async def close(self) -> None:
         """Closes the listeners and cancels all tasks."""
         for listener in self.listeners:
@@ -548,7 +565,7 @@
         """
         own_presence = self.roster.own_presence
         key = f"{_INSTANCES_TABLE}/{own_presence.id}"
-        value = {"peer_address": own_presence.peer_address}
+        value = {_PEER_ADDRESS_FIELD: own_presence.peer_address}
         write = interfaces.Transaction((), (interfaces.Write(key, value),))
         while True:
             write_result = await self.rows.transact(write)
@@ -558,17 +575,24 @@
             ):
                 break
             await asyncio.sleep(self.rng.uniform(0.2, 0.6))
-        self._registered_count = len(scan_result.unwrap())
-        self.peers.contacts = tuple(
-            {
-                *self.peers.contacts,
-                *(
-                    str(row.value["peer_address"])
-                    for row in scan_result.unwrap().values()
-                    if row.value
-                ),
-            }
+        registered = {
+            _registered_address(row) for row in scan_result.unwrap().values()
+        } - {""}
+        self._registered_count = len(registered)
+        self.peers.contacts = tuple({*self.peers.contacts, *registered})
+
+
+def _registered_address(row: interfaces.Row) -> str:
+    """Returns the peer address in a registration; empty if it has none."""
+    try:
+        return decode.address((row.value or {})[_PEER_ADDRESS_FIELD])
+    except failures.MALFORMED as error:
+        logs.event(
+            "registration unreadable",
+            key=row.key,
+            detail=failures.describe(error)[:_MAX_LOGGED],
         )
+        return ""
 
 
 def create_instance(
--- a/tamarackpier/platform/decode.py
+++ b/tamarackpier/platform/decode.py
@@ -1,6 +1,7 @@
 """Decodes the platform's JSON documents, once, into the project's types."""
 
 import base64
+import ipaddress
 import json
 import math
 from collections.abc import Callable, Mapping
@@ -14,16 +15,26 @@
 from tamarackpier.routing import model
 
 __all__ = [
+    "address",
     "configuration",
     "engine_record",
     "engine_report",
     "request_rate",
+    "row_key",
     "row_value",
     "store_era",
+    "times_by_name",
 ]
 
 T = TypeVar("T")
 _S_PER_MS = 1e-3
+# Longest name, in bytes; the store's limit on keys, into which names enter.
+_MAX_NAME_BYTES = 200
+_MAX_PORT = 65_535
+# Largest count in messages to peers, whose fields hold 32 bits.
+_MAX_COUNT = (1 << 31) - 1
+# Largest whole number that every writer of JSON keeps exact.
+_MAX_WHOLE_NUMBER = 1 << 53
 _ROUTE_KINDS = {
     "idempotent": model.RouteKind.IDEMPOTENT,
     "non_idempotent": model.RouteKind.ONCE,
@@ -31,6 +42,18 @@
 }
 
 
+def row_key(text: object) -> str:
+    """Returns a row's key.
+
+    Raises:
+        ValueError: The key is no text that can be encoded.
+    """
+    if not isinstance(text, str):
+        raise ValueError("row key is not a string")
+    text.encode()
+    return text
+
+
 def row_value(text: object) -> bytes:
     """Returns the bytes of a row's value.
 
@@ -42,6 +65,19 @@
     return base64.b64decode(text, validate=True)
 
 
+def times_by_name(document: Any) -> dict[str, float]:
+    """Returns the times in a row's field, by name, in seconds.
+
+    Raises:
+        AttributeError, OverflowError, TypeError, ValueError: The field holds
+            something else.
+    """
+    times = {_name(name): float(at) for name, at in document.items()}
+    if not all(math.isfinite(at) for at in times.values()):
+        raise ValueError("a time is not finite")
+    return times
+
+
 def store_era(text: str | None) -> int:
     """Returns the store's era; 0 for a store that names none.
 
@@ -175,18 +211,13 @@
     state = document["state"]
     if state not in (wire.EngineRowState.READY, wire.EngineRowState.DRAINING):
         raise ValueError(f"unknown engine state {state!r}")
-    host, _, port = _string(document["address"]).rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(
-            f"engine address is not HOST:PORT: {document['address']!r}"
-        )
     return fleet_model.EngineRecord(
-        engine_id,
-        _string(document["service"]),
-        _string(document["address"]),
-        _string(document["zone"]),
-        _string(document.get("domain") or ""),
-        _integer(document["slots"]),
+        _name(engine_id),
+        _name(document["service"]),
+        address(document["address"]),
+        _name(document["zone"]),
+        _name(document.get("domain") or "", 0),
+        _integer(document["slots"], 1, _MAX_COUNT),
         state == wire.EngineRowState.DRAINING,
         _integer(document.get("born", 0)),
         _model_in_use(document),
@@ -197,11 +228,11 @@
 
 def _model_in_use(document: Mapping[str, Any]) -> str:
     models = document.get("models") or ()
-    return _string(models[0]["name"]) if models else ""
+    return _name(models[0]["name"]) if models else ""
 
 
 def _staged_models(document: Mapping[str, Any]) -> tuple[str, ...]:
-    return tuple(_string(name) for name in document.get("staged") or ())
+    return tuple(_name(name) for name in document.get("staged") or ())
 
 
 def _membership(
@@ -211,22 +242,63 @@
         return None
     return fleet_model.Membership(
         fleet_model.ReplicaKey(
-            _string(document["name"]), _integer(document["epoch"])
+            _name(document["name"]), _integer(document["epoch"])
         ),
-        _integer(document["rank"]),
+        _integer(document["rank"], 0, _MAX_COUNT),
         fleet_model.MemberState(document["state"]),
     )
 
 
-def _string(value: object) -> str:
+def _name(value: object, min_bytes: int = 1) -> str:
+    """Returns a name that fits into headers, keys and messages to peers.
+
+    Raises:
+        TypeError: The value is not a string.
+        ValueError: It is too long or too short, or not printable; a lone
+            surrogate is not printable either.
+    """
     if not isinstance(value, str):
-        raise TypeError(f"expected a string, got {value!r}")
+        raise TypeError(f"expected a string, got {value!r:.100}")
+    if not value.isprintable():
+        raise ValueError(f"name is not printable: {value!r:.100}")
+    if not min_bytes <= len(value.encode()) <= _MAX_NAME_BYTES:
+        raise ValueError(
+            f"name has not {min_bytes} to {_MAX_NAME_BYTES} bytes:"
+            f" {value!r:.100}"
+        )
     return value
 
 
-def _integer(value: object) -> int:
+def address(value: object) -> str:
+    """Returns an address to which connections can be opened.
+
+    Raises:
+        TypeError: The value is not a string.
+        ValueError: It is not the IP address of one host and a port.
+    """
+    text = _name(value)
+    host, _, port = text.rpartition(":")
+    is_bracketed = host.startswith("[") and host.endswith("]")
+    ip = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
+    if (
+        is_bracketed != (ip.version == 6)
+        or "%" in host
+        or ip.is_unspecified
+        or ip.is_multicast
+    ):
+        raise ValueError(f"no host has this address: {text!r}")
+    if not (port.isascii() and port.isdecimal() and 0 < int(port) <= _MAX_PORT):
+        raise ValueError(f"address has no valid port: {text!r}")
+    return text
+
+
+def _integer(
+    value: object, lowest: int = 0, highest: int = _MAX_WHOLE_NUMBER
+) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f"expected an integer, got {value!r}")
+        raise TypeError(f"expected an integer, got {value!r:.100}")
+    if not lowest <= value <= highest:
+        raise ValueError(f"expected an integer from {lowest} to {highest}")
     return value
 
 
