--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -65,6 +65,18 @@
     await send({"type": "http.response.body", "body": body})
 
 
+def _sending_header(send: Send, name: str, value: str) -> Send:
+    """Returns a function that sends an answer with another header."""
+
+    async def send_with_header(message: dict[str, Any]) -> None:
+        if message["type"] == "http.response.start":
+            header = (name.encode(), value.encode())
+            message = {**message, "headers": [*message["headers"], header]}
+        await send(message)
+
+    return send_with_header
+
+
 def _abort_connections(listener: serving.HttpListener) -> None:
     for connection in list(listener.state.connections):
         connection.transport.abort()  # type: ignore[union-attr]
@@ -234,6 +246,8 @@
     ) -> None:
         body = await _read_body(receive)
         engine = self.platform.fabric.engines[self.name]
+        if self.name in self.platform.leaving_engines:
+            send = _sending_header(send, wire.Header.LEAVING, "1")
         if not self.platform.fabric.is_reachable(self.name):
             await asyncio.sleep(3600)
         headers = {
@@ -302,6 +316,8 @@
         if max_rate is not None:
             self.platform.limited_arrivals[self.name].append(time.monotonic())
             engine_headers += ((wire.Header.REQUEST_RATE, str(max_rate)),)
+        if self.name in self.platform.leaving_engines:
+            self.platform.leaving_arrivals[self.name].append(time.monotonic())
         membership = engine.membership
         serves_models = bool(engine.record.domain)
         if serves_models and (membership is None or membership.rank != 0):
@@ -402,6 +418,10 @@
             ID.
         limited_arrivals: Times, in seconds on the monotonic clock, of the
             requests that came to an engine while it had such a limit.
+        leaving_engines: IDs of the engines that say in all their answers that
+            they leave; their rows don't.
+        leaving_arrivals: Times, in seconds on the monotonic clock, of the
+            requests that came to an engine while it said so.
         breaches: Descriptions of the invariant breaches so far.
         delayed_order_share: Share of orders that are carried out seconds later
             and not answered.
@@ -428,6 +448,10 @@
         self.limited_arrivals: dict[str, list[float]] = collections.defaultdict(
             list
         )
+        self.leaving_engines: set[str] = set()
+        self.leaving_arrivals: dict[str, list[float]] = collections.defaultdict(
+            list
+        )
         self.breaches: list[str] = []
         self.delayed_order_share = 0.0
         self.rng = random.Random(0)
