Send nothing to engines that answer that they leave

Cause: engines say it in the header Server-Leaving of all their answers, and nothing read it; only their rows counted, which may lag, vanish, be those of an older copy or stay unread while the store is away.

Any answer counts now, to a request, report or order, and whatever rows and observations say later, until the engine starts again. A replica with a leaving member still serves on; one whose lead leaves gets nothing new. An answer with 421 counts only if it names the engine.

The check now counts from the first answer of any kind, which is earlier: with reports read, an engine may get no request at all.

--- a/tamarackpier/daemon/peer_status.py
+++ b/tamarackpier/daemon/peer_status.py
@@ -8,7 +8,7 @@
 
 from tamarackpier import logs
 from tamarackpier.daemon import probing, zone_controller
-from tamarackpier.fleet import fleet_view, model
+from tamarackpier.fleet import departures, fleet_view, model
 from tamarackpier.peer import ages, crash_codec, zone_claims
 from tamarackpier.peer import roster as roster_lib
 from tamarackpier.traffic import load, rate_limits, relay
@@ -131,6 +131,12 @@
             _limit_to_wire(limit, now)
             for limit in self.relay.limits.to_send(now)
         )
+        status.departures.extend(
+            entry_pb2.Departure(
+                engine=departure.engine_id, incarnation=departure.incarnation
+            )
+            for departure in self.fleet.departures_to_send()
+        )
         return status
 
     def receive(self, status: entry_pb2.EntryStatus) -> None:
@@ -157,6 +163,11 @@
                 self._receive_observation(observed, now)
         for limit in status.limits:
             self._receive_limit(limit, status.sender.id, now)
+        for departure in status.departures[: departures.MAX_SENT]:
+            self.relay.record_departure(
+                departures.Departure(departure.engine, departure.incarnation),
+                f"peer {status.sender.id}",
+            )
         try:
             crash_codec.merge_crashes(self.relay.quarantine, status, now)
         except ValueError as error:
--- a/tamarackpier/daemon/row_cache.py
+++ b/tamarackpier/daemon/row_cache.py
@@ -193,6 +193,7 @@
     def _update_engine(self, record: model.EngineRecord) -> None:
         known_record = self.fleet.engines.get(record.id)
         self.fleet.put(record)
+        record = self.fleet.engines[record.id]
         if known_record == record:
             return
         membership = record.membership
--- a/tamarackpier/fleet/fleet_view.py
+++ b/tamarackpier/fleet/fleet_view.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Iterable, Mapping
 
-from tamarackpier.fleet import model
+from tamarackpier.fleet import departures, model
 from tamarackpier.routing import model as routing_model
 
 __all__ = ["FleetView", "Observation", "Suspension"]
@@ -84,6 +84,7 @@
             they take effect when rows are reliable again.
         restored_until: Time until which rows may be those of a copy from which
             the store was restored, in seconds on the monotonic clock.
+        departures: Engines that said that they leave, whatever their rows say.
     """
 
     def __init__(self) -> None:
@@ -98,6 +99,7 @@
         self.gone: dict[str, int] = {}
         self.doubtful_rows: dict[str, model.EngineRecord] = {}
         self.restored_until = -math.inf
+        self.departures = departures.Departures()
         self._replicas: dict[model.ReplicaKey, model.Replica] | None = None
         self._open: dict[tuple[str, str], list[model.Replica]] | None = None
         self._by_service: dict[str, list[model.EngineRecord]] | None = None
@@ -210,6 +212,7 @@
         engine = self.engines.get(record.id)
         if engine is not None and record.incarnation < engine.incarnation:
             return
+        record = self._with_departure(record)
         if engine is not None and record.incarnation > engine.incarnation:
             self.silent.pop(record.id, None)
             self.observations.pop(record.id, None)
@@ -231,6 +234,24 @@
         self.engines[record.id] = record
         self._invalidate_caches()
 
+    def record_departure(self, departure: departures.Departure) -> bool:
+        """Records that an engine said that it leaves.
+
+        Returns:
+            Whether that is new.
+        """
+        if not self.departures.record(departure):
+            return False
+        engine = self.engines.get(departure.engine_id)
+        if engine is not None:
+            self.engines[engine.id] = self._with_departure(engine)
+            self._invalidate_caches()
+        return True
+
+    def departures_to_send(self) -> list[departures.Departure]:
+        """Returns the departures that a message to a peer carries."""
+        return self.departures.latest_of(self.engines)
+
     def remove(self, engine_id: str, now: float) -> None:
         """Records that an engine's row is gone.
 
@@ -383,10 +404,16 @@
         for engine_id in expired_ids:
             row = self.observations.pop(engine_id).later_row
             if row is not None:
-                self.engines[engine_id] = row
+                self.engines[engine_id] = self._with_departure(row)
         if expired_ids:
             self._invalidate_caches()
 
+    def _with_departure(self, record: model.EngineRecord) -> model.EngineRecord:
+        """Returns a record that says so if its engine said that it leaves."""
+        if record.is_leaving or not self.departures.applies_to(record):
+            return record
+        return dataclasses.replace(record, is_leaving=True)
+
     def _remove_engine(self, engine_id: str) -> None:
         engine = self.engines.pop(engine_id, None)
         if engine is not None:
--- a/tamarackpier/platform/decode.py
+++ b/tamarackpier/platform/decode.py
@@ -17,6 +17,7 @@
     "configuration",
     "engine_record",
     "engine_report",
+    "is_leaving",
     "request_rate",
     "row_value",
     "store_era",
@@ -245,6 +246,11 @@
     return rate if math.isfinite(rate) and rate >= 0 else None
 
 
+def is_leaving(text: str | None) -> bool:
+    """Returns whether a header says that the engine shuts down."""
+    return text is not None and text.strip() == "1"
+
+
 def engine_report(
     engine_id: str, data: bytes
 ) -> result.Result[fleet_model.EngineReport, codes.Fault]:
--- a/tamarackpier/platform/engines.py
+++ b/tamarackpier/platform/engines.py
@@ -2,15 +2,16 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import aiohttp
 import yarl
 from returns import result
 
 from tamarackpier import codes, failures
-from tamarackpier.fleet import model
+from tamarackpier.fleet import departures, model
 from tamarackpier.platform import decode, wire
 from tamarackpier.upstream import bounded_http, gateway
 
@@ -150,11 +151,15 @@
     Attributes:
         session: HTTP session that opens the connections.
         probes: Number of reports requested; the platform charges for each.
+        on_leaving: See `gateway.Gateway`.
     """
 
     def __init__(self, session: aiohttp.ClientSession) -> None:
         self.session = session
         self.probes = 0
+        self.on_leaving: Callable[[departures.Departure, str], object] = (
+            lambda departure, source: None
+        )
 
     async def send(self, forward: gateway.ForwardedRequest) -> gateway.Answer:
         """Sends one attempt to an engine and never resends it.
@@ -188,7 +193,10 @@
             raise gateway.AnswerBrokenError(
                 failures.describe(error), True
             ) from error
-        return HttpAnswer(response, forward.request_id)
+        answer = HttpAnswer(response, forward.request_id)
+        if answer.matches_request and _says_leaving(response, forward.engine):
+            self._on_leaving(forward.engine, forward.request_id)
+        return answer
 
     async def report(
         self, engine: model.EngineRecord, timeout_s: float
@@ -206,6 +214,7 @@
                     wire.Header.ENGINE, engine.id
                 )
                 status = response.status
+                says_leaving = _says_leaving(response, engine)
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             is_port_closed = isinstance(
                 error, aiohttp.ClientConnectorError
@@ -226,7 +235,16 @@
                 codes.BAD_UPSTREAM_DATA,
                 f"HTTP {status} from engine {reporting_engine}",
             )
-        return decode.engine_report(engine.id, data)
+        report_result = decode.engine_report(engine.id, data)
+        if says_leaving:
+            # The engine may have started again since its row was read.
+            incarnation = report_result.map(
+                lambda report: report.incarnation
+            ).value_or(engine.incarnation)
+            self._on_leaving(
+                dataclasses.replace(engine, incarnation=incarnation), "report"
+            )
+        return report_result
 
     async def order(
         self, order: model.Order, timeout_s: float
@@ -245,6 +263,8 @@
             async with self._call(
                 "POST", url, headers, timeout_s, body
             ) as response:
+                if _says_leaving(response, order.engine):
+                    self._on_leaving(order.engine, "order")
                 await bounded_http.read_body(response, _MAX_CALL_ANSWER_BYTES)
                 return _OUTCOME_BY_STATUS.get(
                     response.status, model.OrderOutcome.REFUSED
@@ -252,6 +272,10 @@
         except (TimeoutError, aiohttp.ClientError, OSError):
             return model.OrderOutcome.UNKNOWN
 
+    def _on_leaving(self, engine: model.EngineRecord, source: str) -> None:
+        departure = departures.Departure(engine.id, engine.incarnation)
+        self.on_leaving(departure, source)
+
     @contextlib.asynccontextmanager
     async def _call(
         self,
@@ -273,6 +297,18 @@
                 yield response
 
 
+def _says_leaving(
+    response: aiohttp.ClientResponse, engine: model.EngineRecord
+) -> bool:
+    """Returns whether the called engine says in a response that it leaves."""
+    # Whoever answers 421 may be another engine, unless it says who it is.
+    unnamed = "" if response.status == _OTHER_ENGINE else engine.id
+    responding = response.headers.get(wire.Header.ENGINE, unnamed)
+    return responding == engine.id and decode.is_leaving(
+        response.headers.get(wire.Header.LEAVING)
+    )
+
+
 def _order_document(order: model.Order) -> dict[str, object]:
     document: dict[str, object] = {"operation": _OPERATIONS[order.kind]}
     if order.key is not None:
--- a/tamarackpier/platform/wire.py
+++ b/tamarackpier/platform/wire.py
@@ -26,7 +26,7 @@
     PRIORITY = "tamarackpier-request-priority"
     # Requests a second that an engine takes from all instances together.
     REQUEST_RATE = "server-limit"
-    # Its presence says that the engine shuts down.
+    # "1" in all answers of an engine that shuts down.
     LEAVING = "server-leaving"
     RETRY_AFTER = "retry-after"
     # Number of times that the store lost its latest changes.
--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -248,6 +248,9 @@
         engine = self.platform.fabric.engines[self.name]
         if self.name in self.platform.leaving_engines:
             send = _sending_header(send, wire.Header.LEAVING, "1")
+            self.platform.said_leaving_at.setdefault(
+                self.name, time.monotonic()
+            )
         if not self.platform.fabric.is_reachable(self.name):
             await asyncio.sleep(3600)
         headers = {
@@ -420,6 +423,8 @@
             requests that came to an engine while it had such a limit.
         leaving_engines: IDs of the engines that say in all their answers that
             they leave; their rows don't.
+        said_leaving_at: Time, in seconds on the monotonic clock, of the first
+            such answer of an engine, by its ID.
         leaving_arrivals: Times, in seconds on the monotonic clock, of the
             requests that came to an engine while it said so.
         breaches: Descriptions of the invariant breaches so far.
@@ -449,6 +454,7 @@
             list
         )
         self.leaving_engines: set[str] = set()
+        self.said_leaving_at: dict[str, float] = {}
         self.leaving_arrivals: dict[str, list[float]] = collections.defaultdict(
             list
         )
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -17,7 +17,7 @@
     quarantine,
     registry,
 )
-from tamarackpier.fleet import fleet_view
+from tamarackpier.fleet import departures, fleet_view
 from tamarackpier.fleet import model as fleet_model
 from tamarackpier.routing import model as routing_model
 from tamarackpier.routing import table
@@ -155,6 +155,7 @@
         self.started_at = clock()
         self.in_flight = 0
         self.isolated_runs = 0
+        engine_gateway.on_leaving = self.record_departure
 
     async def handle(
         self, request: model.Request, connection: caller.Caller
@@ -538,6 +539,25 @@
                 members=len(self.limits.members),
             )
 
+    def record_departure(
+        self, departure: departures.Departure, source: str
+    ) -> None:
+        """Records that an engine said that it leaves.
+
+        Args:
+            departure: The engine that said so.
+            source: Who heard it, for the log: the request that it answered,
+                the call to it, or the peer that passed it on.
+        """
+        if self.fleet.record_departure(departure):
+            self.metrics.count("engine_leaves")
+            logs.event(
+                "engine leaves",
+                engine=departure.engine_id,
+                incarnation=departure.incarnation,
+                source=source,
+            )
+
     def log_attempt(
         self,
         run: run_lib.Run,
--- a/tamarackpier/upstream/gateway.py
+++ b/tamarackpier/upstream/gateway.py
@@ -1,12 +1,13 @@
 """Interface through which requests, probes and orders reach engines."""
 
 import dataclasses
+from collections.abc import Callable
 from typing import Protocol
 
 from returns import result
 
 from tamarackpier import codes
-from tamarackpier.fleet import model
+from tamarackpier.fleet import departures, model
 
 __all__ = [
     "Answer",
@@ -101,7 +102,15 @@
 
 
 class Gateway(Protocol):
-    """Client for calls to engines."""
+    """Client for calls to engines.
+
+    Attributes:
+        on_leaving: Called with each answer in which an engine says that it
+            leaves: with its departure, and the ID of the request or the name
+            of the call that it answered.
+    """
+
+    on_leaving: Callable[[departures.Departure, str], object]
 
     async def send(self, forward: ForwardedRequest) -> Answer:
         """Sends a request exactly once and returns the head of its answer.
--- a/tests/exchange_fixtures.py
+++ b/tests/exchange_fixtures.py
@@ -41,6 +41,9 @@
             engine_loads=load.Loads(),
             quarantine=quarantine.Quarantine(3, 1000.0),
             limits=rate_limits.UpstreamLimits(),
+            record_departure=lambda departure, source: (
+                self.fleet.record_departure(departure)
+            ),
         )
         self.suspended = []
         self.roster = roster_lib.Roster(presence(index))
--- a/tests/test_engine_leaving.py
+++ b/tests/test_engine_leaving.py
@@ -10,10 +10,11 @@
 from returns import pipeline
 
 from tamarackpier import codes
+from tamarackpier.fleet import departures, fleet_view
 from tamarackpier.fleet import model as fleet_model
-from tamarackpier.platform import wire
+from tamarackpier.platform import decode, wire
 from tamarackpier.standin import rough_engine
-from tests import deployment_fixtures, relay_fixtures
+from tests import deployment_fixtures, hosted_fixtures, relay_fixtures
 
 # Time after which an engine that said so gets nothing more, as the platform
 # states it.
@@ -69,11 +70,13 @@
 
 def _check_drained(platform, *names):
     """Checks that no request reached a leaving engine too late."""
-    late = {}
-    for name in names:
-        arrivals = platform.leaving_arrivals[name]
-        assert arrivals
-        late[name] = sum(at > arrivals[0] + DRAIN_S for at in arrivals)
+    late = {
+        name: sum(
+            at > platform.said_leaving_at[name] + DRAIN_S
+            for at in platform.leaving_arrivals[name]
+        )
+        for name in names
+    }
     assert not any(late.values()), f"late requests: {late}"
 
 
@@ -308,3 +311,90 @@
                 assert not request_relay.fleet.engines["o1"].is_leaving
 
     asyncio.run(check())
+
+
+def _fleet_that_heard(incarnation=5):
+    """Returns a fleet with an engine that said that it leaves."""
+    fleet = fleet_view.FleetView()
+    fleet.replace([hosted_fixtures.record("e1", incarnation=incarnation)], 0.0)
+    departure = departures.Departure("e1", incarnation)
+    assert fleet.record_departure(departure)
+    assert not fleet.record_departure(departure)
+    return fleet
+
+
+def test_no_row_takes_back_that_an_engine_said_it_leaves():
+    row = hosted_fixtures.record("e1", incarnation=5, staged=("large",))
+    for vanishes, is_restored in itertools.product((False, True), repeat=2):
+        fleet = _fleet_that_heard()
+        if vanishes:
+            fleet.remove("e1", 1.0)
+        if is_restored:
+            fleet.mark_rows_restored(1.0)
+        fleet.replace([row], 2.0)
+        for now in (2.0, 3.0, 4.0, 60.0):
+            fleet.expire(now)
+            assert not fleet.engines_of_service("drafts")
+        assert fleet.engines["e1"].is_leaving
+        assert fleet.engines["e1"].staged == ("large",)
+
+
+def test_no_observation_takes_back_that_an_engine_said_it_leaves():
+    fleet = _fleet_that_heard()
+    row = hosted_fixtures.record("e1", incarnation=5)
+    fleet.mark_store_unreachable("rows")
+    report = fleet_model.EngineReport("e1", None, 0, 0, 1.0, 5)
+    fleet.observe(report, 1.0)
+    fleet.put(row)
+    fleet.mark_store_reachable("rows", 2.0)
+    for now in (2.0, 5.0, 60.0):
+        fleet.expire(now)
+        assert fleet.engines["e1"].is_leaving
+
+
+def test_only_a_later_start_of_an_engine_is_not_leaving():
+    fleet = _fleet_that_heard()
+    fleet.put(hosted_fixtures.record("e1", incarnation=6))
+    assert not fleet.engines["e1"].is_leaving
+    assert not fleet.record_departure(departures.Departure("e1", 5))
+    assert not fleet.engines["e1"].is_leaving
+    # Heard before the row of that start.
+    assert fleet.record_departure(departures.Departure("e1", 7))
+    fleet.put(hosted_fixtures.record("e1", incarnation=7))
+    assert fleet.engines["e1"].is_leaving
+
+
+def test_a_replica_serves_on_with_a_member_that_said_it_leaves():
+    fleet = fleet_view.FleetView()
+    fleet.set_services(hosted_fixtures.services())
+    fleet.replace(hosted_fixtures.replica_records(), 0.0)
+    fleet.record_departure(departures.Departure("r1-2", 1))
+    (replica,) = fleet.serving("drafts", "large")
+    assert [engine.id for engine in replica.leaving] == ["r1-2"]
+    fleet.record_departure(departures.Departure("r1-0", 1))
+    assert not fleet.serving("drafts", "large")
+
+
+def test_departures_are_bounded_in_memory_and_in_messages():
+    heard = departures.Departures()
+    for number in range(10_000):
+        assert heard.record(departures.Departure(f"e{number}", number))
+    assert len(heard.incarnations) == 4096
+    known = {f"e{number}" for number in range(9000, 9900)}
+    sent = heard.latest_of(known)
+    assert len(sent) == departures.MAX_SENT
+    assert sent[0] == departures.Departure("e9899", 9899)
+    for incarnation in (-1, 1 << 63):
+        assert not heard.record(departures.Departure("e", incarnation))
+
+
+def test_only_a_one_says_that_an_engine_leaves():
+    for text, says_leaving in (
+        ("1", True),
+        (" 1 ", True),
+        ("0", False),
+        ("", False),
+        ("no", False),
+        (None, False),
+    ):
+        assert decode.is_leaving(text) is says_leaving
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -18,7 +18,7 @@
     row_source,
     zone_lease,
 )
-from tamarackpier.fleet import fleet_view, model
+from tamarackpier.fleet import departures, fleet_view, model
 from tamarackpier.peer import partners, zone_claims
 from tamarackpier.peer import roster as roster_lib
 from tamarackpier.platform import interfaces
@@ -31,6 +31,8 @@
 MAX_BYTES_PER_S = 29_000
 # Bound by which all instances know of a crash.
 KNOWN_AFTER_S = 3.0
+# Time after which an engine that leaves gets no requests.
+DRAIN_S = 2.0
 
 
 def test_in_small_fleet_every_pair_exchanges():
@@ -76,6 +78,15 @@
         assert {node.relay.limits.rate(engine) for node in nodes} == {rate}
 
 
+def test_a_departure_that_one_instance_heard_is_known_to_all_of_a_fleet():
+    fleet = exchange_fixtures.Fleet(69)
+    fleet.run(12)
+    nodes = list(fleet.nodes.values())
+    nodes[7].fleet.record_departure(departures.Departure("r1-0", 1))
+    fleet.run(int(DRAIN_S / exchange_fixtures.ROUND_S))
+    assert all(node.fleet.engines["r1-0"].is_leaving for node in nodes)
+
+
 def test_crashes_found_by_different_instances_are_known_to_all_of_a_fleet():
     fleet = exchange_fixtures.Fleet(69)
     fleet.run(12)
@@ -263,6 +274,11 @@
     rate=strategies.none() | strategies.floats(),
     age_ms=NUMBER,
 )
+DEPARTURE = strategies.builds(
+    entry_pb2.Departure,
+    engine=TEXT | strategies.just("r1-0"),
+    incarnation=strategies.integers(0, 2**64 - 1),
+)
 STATUS = strategies.builds(
     entry_pb2.EntryStatus,
     sender=PRESENCE,
@@ -271,6 +287,7 @@
     suspended=strategies.lists(SUSPENDED, max_size=2),
     observed=strategies.lists(OBSERVED, max_size=2),
     limits=strategies.lists(LIMIT, max_size=3),
+    departures=strategies.lists(DEPARTURE, max_size=3),
 )
 
 
