--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -321,6 +321,15 @@
             engine_headers += ((wire.Header.REQUEST_RATE, str(max_rate)),)
         if self.name in self.platform.leaving_engines:
             self.platform.leaving_arrivals[self.name].append(time.monotonic())
+        retry_after = self.platform.retry_after.get(self.name)
+        if retry_after is not None:
+            self.platform.turned_away[self.name].append(time.monotonic())
+            engine_headers += (
+                (wire.Header.NOT_RUN, "turned away"),
+                (wire.Header.RETRY_AFTER, retry_after),
+            )
+            await _send_answer(send, 503, headers=engine_headers)
+            return
         membership = engine.membership
         serves_models = bool(engine.record.domain)
         if serves_models and (membership is None or membership.rank != 0):
@@ -427,6 +436,10 @@
             such answer of an engine, by its ID.
         leaving_arrivals: Times, in seconds on the monotonic clock, of the
             requests that came to an engine while it said so.
+        retry_after: Seconds, as text, for which an engine that turns all
+            requests away wants no more, by its ID.
+        turned_away: Times, in seconds on the monotonic clock, of the requests
+            that an engine turned away so.
         breaches: Descriptions of the invariant breaches so far.
         delayed_order_share: Share of orders that are carried out seconds later
             and not answered.
@@ -458,6 +471,8 @@
         self.leaving_arrivals: dict[str, list[float]] = collections.defaultdict(
             list
         )
+        self.retry_after: dict[str, str] = {}
+        self.turned_away: dict[str, list[float]] = collections.defaultdict(list)
         self.breaches: list[str] = []
         self.delayed_order_share = 0.0
         self.rng = random.Random(0)
