Send nothing to engines that asked this instance to wait

Cause: engines may add Retry-After to a 503, and nothing read it. Requests went on to them, or they were taken for faulty: probed, scored and shunned for longer.

The time counts from the answer, for this instance and this start of the engine; of several answers the latest end holds, as each asks for nothing until its own. It is no fault of the engine. If all engines that could run a request ask for a pause, it is refused at once with 3116 and the time to return, spread over 1 s. A time that is no number of seconds is ignored with a log line, and 3600 s bound it. A 503 that doesn't state that nothing ran asks for a pause too, but stays an invalid answer.

--- a/tamarackpier/codes.py
+++ b/tamarackpier/codes.py
@@ -385,6 +385,13 @@
     _LATER,
     "Every engine that could run the request gets as many as it takes.",
 )
+UPSTREAMS_WAITING = _define(
+    3116,
+    "upstreams_waiting",
+    503,
+    _LATER,
+    "Every engine that could run the request asked for a pause.",
+)
 QUARANTINED = _define(
     3106,
     "quarantined",
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -507,6 +507,7 @@
             self.roster.own_presence.id, self._limit_members(now)
         )
         self.relay.limits.keep_only(self.fleet.engines, now)
+        self.relay.forget_ended_waits()
         self.relay.replica_loads.expire(now)
         self.relay.engine_loads.expire(now)
         self.relay.streams.keep_only(set(self.fleet.replicas()))
--- a/tamarackpier/platform/decode.py
+++ b/tamarackpier/platform/decode.py
@@ -19,6 +19,7 @@
     "engine_report",
     "is_leaving",
     "request_rate",
+    "retry_after_s",
     "row_value",
     "store_era",
 ]
@@ -237,13 +238,30 @@
     Args:
         text: Decimal number.
     """
+    return _non_negative(text)
+
+
+def retry_after_s(text: str | None) -> float | None:
+    """Returns for how long an engine wants nothing more, in seconds.
+
+    Args:
+        text: Decimal number of seconds.
+
+    Returns:
+        The time; None if it is absent or invalid. Dates are invalid.
+    """
+    return _non_negative(text)
+
+
+def _non_negative(text: str | None) -> float | None:
+    """Returns a finite number of at least 0; None if the text is none."""
     if text is None:
         return None
     try:
-        rate = float(text)
+        number = float(text)
     except ValueError:
         return None
-    return rate if math.isfinite(rate) and rate >= 0 else None
+    return number if math.isfinite(number) and number >= 0 else None
 
 
 def is_leaving(text: str | None) -> bool:
--- a/tamarackpier/platform/engines.py
+++ b/tamarackpier/platform/engines.py
@@ -10,7 +10,7 @@
 import yarl
 from returns import result
 
-from tamarackpier import codes, failures
+from tamarackpier import codes, failures, logs
 from tamarackpier.fleet import departures, model
 from tamarackpier.platform import decode, wire
 from tamarackpier.upstream import bounded_http, gateway
@@ -19,6 +19,7 @@
 
 _OK = 200
 _OTHER_ENGINE = 421
+_UNAVAILABLE = 503
 _OUTCOME_BY_STATUS = {
     _OK: model.OrderOutcome.ACCEPTED,
     202: model.OrderOutcome.ACCEPTED,
@@ -121,6 +122,9 @@
         self.max_request_rate = decode.request_rate(
             response_headers.get(wire.Header.REQUEST_RATE)
         )
+        self.requested_wait_s = None
+        if response.status == _UNAVAILABLE:
+            self.requested_wait_s = _requested_wait_s(response, request_id)
         self.is_framed = bounded_http.is_framed(response)
         self._connection_closed = bounded_http.unframed_end(response)
 
@@ -309,6 +313,19 @@
     )
 
 
+def _requested_wait_s(
+    response: aiohttp.ClientResponse, request_id: str
+) -> float | None:
+    """Returns the wait that a response asks for; None if there is none."""
+    text = response.headers.get(wire.Header.RETRY_AFTER)
+    wait_s = decode.retry_after_s(text)
+    if text is not None and wait_s is None:
+        logs.decision(
+            "wait unreadable", request=request_id, retry_after=text[:100]
+        )
+    return wait_s
+
+
 def _order_document(order: model.Order) -> dict[str, object]:
     document: dict[str, object] = {"operation": _OPERATIONS[order.kind]}
     if order.key is not None:
--- a/tamarackpier/platform/wire.py
+++ b/tamarackpier/platform/wire.py
@@ -28,6 +28,8 @@
     REQUEST_RATE = "server-limit"
     # "1" in all answers of an engine that shuts down.
     LEAVING = "server-leaving"
+    # Seconds; from an engine, with 503: the time for which it wants nothing
+    # more from the instance that gets the answer.
     RETRY_AFTER = "retry-after"
     # Number of times that the store lost its latest changes.
     STORE_ERA = "store-era"
--- a/tamarackpier/traffic/attempt.py
+++ b/tamarackpier/traffic/attempt.py
@@ -11,7 +11,7 @@
 from tamarackpier.upstream import gateway
 
 __all__ = [
-    "LIMITED",
+    "NO_FAULT_REASONS",
     "CompleteAnswer",
     "WatchedAttempt",
     "deliver",
@@ -23,7 +23,11 @@
 
 # Reason of a failure in which an engine with a limit ran nothing; it isn't
 # faulty.
-LIMITED = "limited"
+_LIMITED = "limited"
+# Reason of a failure in which an engine ran nothing and asked for a pause.
+_ASKED_TO_WAIT = "asked_to_wait"
+# Reasons of failures that say nothing of the engine's health.
+NO_FAULT_REASONS = (_LIMITED, _ASKED_TO_WAIT)
 # Reasons of failures in which the connection to the engine broke.
 _BROKEN_REASONS = ("no_answer", "cut_off")
 # Statuses with which engines refuse a request that they do not run.
@@ -167,6 +171,7 @@
         ) from error
     if answer.matches_request:
         relay.record_limit(run, candidate, answer.max_request_rate)
+        relay.record_wait(run, candidate, answer.requested_wait_s)
     problem = _check_answer(answer)
     if problem:
         answer.close()
@@ -174,11 +179,17 @@
     if answer.is_not_run:
         answer.close()
         detail = f"the engine did not run the request: HTTP {answer.status}"
-        reason = "not_run" if answer.max_request_rate is None else LIMITED
-        raise _failed_attempt_error(run, reason, detail, True)
+        raise _failed_attempt_error(run, _refusal_reason(answer), detail, True)
     return answer
 
 
+def _refusal_reason(answer: gateway.Answer) -> str:
+    """Returns the short name of why an engine did not run a request."""
+    if answer.requested_wait_s:
+        return _ASKED_TO_WAIT
+    return "not_run" if answer.max_request_rate is None else _LIMITED
+
+
 def _failed_attempt_error(
     run: run_lib.Run, reason: str, detail: str, is_not_run: bool
 ) -> run_lib.AttemptFailedError:
@@ -217,7 +228,7 @@
     except run_lib.AttemptFailedError as error:
         run.last_failure = f"{engine_id}: {error}"
         relay.log_failed_attempt(run, candidate, error)
-        if error.reason != LIMITED:
+        if error.reason not in NO_FAULT_REASONS:
             relay.engine_scores.record_failure(engine_id, relay.clock())
         raise
     finally:
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -25,6 +25,7 @@
     budget,
     caller,
     crash_watch,
+    engine_waits,
     load,
     model,
     rate_limits,
@@ -108,6 +109,7 @@
         quarantine: Requests that are suspected of crashing upstreams.
         crash_watch: Finds out which failed attempts ended with their upstream.
         limits: Limits of engines on the requests a second that they take.
+        waits: Engines that want nothing from this instance for a while.
         budgets: Retry budgets by service.
         invariants: Checks of conditions that must always hold.
         rows_read_at: Returns the time at which the engines' rows were last
@@ -145,6 +147,7 @@
         self.quarantine = quarantine.Quarantine(_CRASH_THRESHOLD, _QUARANTINE_S)
         self.crash_watch = crash_watch.CrashWatch(self.quarantine, counts)
         self.limits = rate_limits.UpstreamLimits()
+        self.waits = engine_waits.EngineWaits()
         self.budgets: dict[str, budget.RetryBudget] = {}
         self.invariants = invariants.Invariants()
         self.rows_read_at: Callable[[], float] = clock
@@ -366,8 +369,12 @@
             for candidate in candidates
             if candidate.upstream not in run.tried
         ]
-        if untried:
-            untried = self._candidates_within_limits(run, untried, now)
+        if candidates:
+            admitting = self._candidates_without_wait(
+                untried or candidates, now
+            )
+            if untried:
+                untried = self._candidates_within_limits(run, admitting, now)
         run.is_isolated = verdict is quarantine.Verdict.ALONE
         if run.is_isolated:
             untried = self._isolated_candidates(run, untried)
@@ -394,6 +401,33 @@
             self._retry_after_s(),
         )
 
+    def _candidates_without_wait(
+        self, candidates: list[selection.Candidate], now: float
+    ) -> list[selection.Candidate]:
+        """Returns the upstreams that didn't ask this instance to wait.
+
+        Raises:
+            run_lib.RefusedError: There are none.
+        """
+        admitting = [
+            candidate
+            for candidate in candidates
+            if self.waits.wait_s(candidate.engine, now) == 0
+        ]
+        if admitting:
+            return admitting
+        engines = [candidate.engine for candidate in candidates]
+        waits = ", ".join(
+            f"{engine.id} {self.waits.wait_s(engine, now):.2f} s"
+            for engine in engines[:_MAX_DESCRIBED]
+        )
+        raise run_lib.refusal(
+            codes.UPSTREAMS_WAITING,
+            f"all {len(candidates)} upstreams asked this instance to wait:"
+            f" {waits}",
+            self.waits.promise_s(engines, now, self.rng.random()),
+        )
+
     def _candidates_within_limits(
         self,
         run: run_lib.Run,
@@ -539,6 +573,38 @@
                 members=len(self.limits.members),
             )
 
+    def record_wait(
+        self,
+        run: run_lib.Run,
+        candidate: selection.Candidate,
+        wait_s: float | None,
+    ) -> None:
+        """Records that an engine asked this instance to wait, if it did.
+
+        Args:
+            run: State of the request.
+            candidate: Upstream that answered.
+            wait_s: Seconds for which it wants no requests; None for no wait.
+        """
+        if not wait_s:
+            return
+        if self.waits.record(candidate.engine, wait_s, self.clock()):
+            self.metrics.count("engine_wait")
+            logs.event(
+                "engine asks to wait",
+                request=run.request.id,
+                engine=candidate.engine.id,
+                incarnation=candidate.engine.incarnation,
+                wait_s=wait_s,
+            )
+
+    def forget_ended_waits(self) -> None:
+        """Forgets waits that have ended."""
+        for engine_id in self.waits.take_ended(
+            self.fleet.engines, self.clock()
+        ):
+            logs.event("engine wait ended", engine=engine_id)
+
     def record_departure(
         self, departure: departures.Departure, source: str
     ) -> None:
--- a/tamarackpier/upstream/gateway.py
+++ b/tamarackpier/upstream/gateway.py
@@ -78,6 +78,9 @@
             which request, only `matches_request` tells.
         max_request_rate: Requests a second that the engine takes from all
             instances together; None if it names no limit.
+        requested_wait_s: Seconds for which the engine, which is turning the
+            request away, wants nothing more from this instance; None if it
+            doesn't say.
         is_framed: Whether the body has a length or chunks; else it ends with
             its connection.
     """
@@ -88,6 +91,7 @@
     matches_request: bool
     is_not_run: bool
     max_request_rate: float | None
+    requested_wait_s: float | None
     is_framed: bool
 
     async def read(self) -> bytes:
