--- a/tamarackpier/traffic/engine_waits.py
+++ b/tamarackpier/traffic/engine_waits.py
@@ -10,7 +10,7 @@
 
 from tamarackpier.fleet import model
 
-__all__ = ["EngineWaits"]
+__all__ = ["MAX_WAIT_S", "EngineWaits"]
 
 # Longest wait that is kept, in seconds. An engine that gets no request can't
 # take back a time that it named by mistake.
