--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -65,6 +65,18 @@
     await send({"type": "http.response.body", "body": body})
 
 
+def _sending_header(send: Send, name: str, value: str) -> Send:
+    """Returns a function that sends an answer with another header."""
+
+    async def send_with_header(message: dict[str, Any]) -> None:
+        if message["type"] == "http.response.start":
+            header = (name.encode(), value.encode())
+            message = {**message, "headers": [*message["headers"], header]}
+        await send(message)
+
+    return send_with_header
+
+
 def _abort_connections(listener: serving.HttpListener) -> None:
     for connection in list(listener.state.connections):
         connection.transport.abort()  # type: ignore[union-attr]
@@ -234,6 +246,11 @@
     ) -> None:
         body = await _read_body(receive)
         engine = self.platform.fabric.engines[self.name]
+        if self.name in self.platform.leaving_engines:
+            send = _sending_header(send, wire.Header.LEAVING, "1")
+            self.platform.said_leaving_at.setdefault(
+                self.name, time.monotonic()
+            )
         if not self.platform.fabric.is_reachable(self.name):
             await asyncio.sleep(3600)
         headers = {
@@ -302,6 +319,17 @@
         if max_rate is not None:
             self.platform.limited_arrivals[self.name].append(time.monotonic())
             engine_headers += ((wire.Header.REQUEST_RATE, str(max_rate)),)
+        if self.name in self.platform.leaving_engines:
+            self.platform.leaving_arrivals[self.name].append(time.monotonic())
+        retry_after = self.platform.retry_after.get(self.name)
+        if retry_after is not None:
+            self.platform.turned_away[self.name].append(time.monotonic())
+            engine_headers += (
+                (wire.Header.NOT_RUN, "turned away"),
+                (wire.Header.RETRY_AFTER, retry_after),
+            )
+            await _send_answer(send, 503, headers=engine_headers)
+            return
         membership = engine.membership
         serves_models = bool(engine.record.domain)
         if serves_models and (membership is None or membership.rank != 0):
@@ -402,6 +430,16 @@
             ID.
         limited_arrivals: Times, in seconds on the monotonic clock, of the
             requests that came to an engine while it had such a limit.
+        leaving_engines: IDs of the engines that say in all their answers that
+            they leave; their rows don't.
+        said_leaving_at: Time, in seconds on the monotonic clock, of the first
+            such answer of an engine, by its ID.
+        leaving_arrivals: Times, in seconds on the monotonic clock, of the
+            requests that came to an engine while it said so.
+        retry_after: Seconds, as text, for which an engine that turns all
+            requests away wants no more, by its ID.
+        turned_away: Times, in seconds on the monotonic clock, of the requests
+            that an engine turned away so.
         breaches: Descriptions of the invariant breaches so far.
         delayed_order_share: Share of orders that are carried out seconds later
             and not answered.
@@ -428,6 +466,13 @@
         self.limited_arrivals: dict[str, list[float]] = collections.defaultdict(
             list
         )
+        self.leaving_engines: set[str] = set()
+        self.said_leaving_at: dict[str, float] = {}
+        self.leaving_arrivals: dict[str, list[float]] = collections.defaultdict(
+            list
+        )
+        self.retry_after: dict[str, str] = {}
+        self.turned_away: dict[str, list[float]] = collections.defaultdict(list)
         self.breaches: list[str] = []
         self.delayed_order_share = 0.0
         self.rng = random.Random(0)
--- a/tamarackpier/upstream/gateway.py
+++ b/tamarackpier/upstream/gateway.py
@@ -1,12 +1,13 @@
 """Interface through which requests, probes and orders reach engines."""
 
 import dataclasses
+from collections.abc import Callable
 from typing import Protocol
 
 from returns import result
 
 from tamarackpier import codes
-from tamarackpier.fleet import model
+from tamarackpier.fleet import departures, model
 
 __all__ = [
     "Answer",
@@ -77,6 +78,9 @@
             which request, only `matches_request` tells.
         max_request_rate: Requests a second that the engine takes from all
             instances together; None if it names no limit.
+        requested_wait_s: Seconds for which the engine, which is turning the
+            request away, wants nothing more from this instance; None if it
+            doesn't say.
         is_framed: Whether the body has a length or chunks; else it ends with
             its connection.
     """
@@ -87,6 +91,7 @@
     matches_request: bool
     is_not_run: bool
     max_request_rate: float | None
+    requested_wait_s: float | None
     is_framed: bool
 
     async def read(self) -> bytes:
@@ -101,7 +106,15 @@
 
 
 class Gateway(Protocol):
-    """Client for calls to engines."""
+    """Client for calls to engines.
+
+    Attributes:
+        on_leaving: Called with each answer in which an engine says that it
+            leaves: with its departure, and the ID of the request or the name
+            of the call that it answered.
+    """
+
+    on_leaving: Callable[[departures.Departure, str], object]
 
     async def send(self, forward: ForwardedRequest) -> Answer:
         """Sends a request exactly once and returns the head of its answer.
