Failing tests: instances that are partitioned from all engines

Each instance of a test deployment has its own links to the engines, which can be cut in three ways: they hang, are reset, or live on while new ones are refused.

Two further tests find that replicas are suspended at instances that were not cut.

--- a/tests/deployment_fixtures.py
+++ b/tests/deployment_fixtures.py
@@ -13,7 +13,7 @@
 from tamarackpier.platform import engines, wire
 from tamarackpier.routing import model as routing_model
 from tamarackpier.standin import hosted_platform
-from tests import hosted_fixtures, ports
+from tests import engine_links, hosted_fixtures, ports
 
 FAST_MODELS = tuple(
     dataclasses.replace(model_spec, load_s=0.2, warm_s=0.1)
@@ -82,29 +82,40 @@
     Attributes:
         platform: The simulated platform with all engines.
         instances: The entry instances.
+        links: The links of each instance to the engines.
         client: HTTP session of the callers.
-        sessions: HTTP sessions of the instances, to the store and to engines.
+        store_session: HTTP session of the instances to the store.
+        exit_stack: Closes the instances' HTTP sessions to engines.
     """
 
-    def __init__(self, platform, client, sessions):
+    def __init__(self, platform, client, store_session, exit_stack):
         self.platform = platform
         self.instances = []
+        self.links = []
         self.client = client
-        self.sessions = sessions
+        self.store_session = store_session
+        self.exit_stack = exit_stack
 
     async def start_instance(self, name):
         """Starts an entry instance and returns it."""
+        engine_session = await self.exit_stack.enter_async_context(
+            engines.create_session()
+        )
         instance = hosted_lib.create_instance(
-            _settings(name, self.platform.address), *self.sessions
+            _settings(name, self.platform.address),
+            self.store_session,
+            engine_session,
         )
         instance.rng = random.Random(name)
         await instance.start()
         self.instances.append(instance)
+        self.links.append(engine_links.EngineLinks(engine_session))
         return instance
 
     async def replace_instance(self, index):
         """Ends an instance and starts another, which knows nothing of it."""
         ended = self.instances.pop(index)
+        del self.links[index]
         await ended.close()
         return await self.start_instance(ended.settings.instance.id)
 
@@ -187,12 +198,10 @@
     platform.configure(configuration())
     async with (
         aiohttp.ClientSession() as store_session,
-        engines.create_session() as engine_session,
         aiohttp.ClientSession() as client,
+        contextlib.AsyncExitStack() as exit_stack,
     ):
-        deployment = Deployment(
-            platform, client, (store_session, engine_session)
-        )
+        deployment = Deployment(platform, client, store_session, exit_stack)
         for index in range(count):
             await deployment.start_instance(f"entry-{index}")
         try:
--- /dev/null
+++ b/tests/test_partitioned_instances.py
@@ -0,0 +1,180 @@
+"""Tests of instances that lose their links to all engines."""
+
+import asyncio
+import collections
+import itertools
+import time
+
+import aiohttp
+
+from tests import deployment_fixtures
+
+# Time after the start of a cut from which callers have to be served.
+STABLE_AFTER_S = 3.0
+# Least ratio of the shares of first tries that are served.
+MIN_SERVED_RATIO = 2 / 3
+# Least share of first tries that instances with links serve.
+MIN_SERVED_ELSEWHERE = 0.9
+SEND_S = 3.0
+REQUESTS_PER_S = 10  # For each instance.
+PATHS = ("/draft/1", "/order/1", "/status/1")
+DEPLOYMENT = {
+    "count": 4,
+    "engine_count": 9,
+    "domain_count": 4,
+    "order_engine_count": 3,
+}
+
+
+class _Callers:
+    """Callers that send requests of all kinds, and never try again.
+
+    Attributes:
+        deployment: The deployment.
+        statuses: Status of each answer, or the error, by instance.
+    """
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.statuses = collections.defaultdict(list)
+        self._numbers = itertools.count()
+        self._tasks = set()
+
+    async def post(self, index, path):
+        """Sends a request to an instance and records what came of it."""
+        request_id = f"request-{next(self._numbers)}"
+        try:
+            response, data = await self.deployment.post(
+                path, request_id, index, request_id.encode(), 20
+            )
+            outcome = response.status
+            is_stream = path == PATHS[0]
+            if outcome == 200 and is_stream and data.count(b"\n\n") != 20:
+                outcome = "broken off"
+        except aiohttp.ClientError as error:
+            outcome = type(error).__name__
+        self.statuses[index].append(outcome)
+
+    async def send(self, seconds):
+        """Sends requests of each kind in turn to all instances."""
+        paths = itertools.cycle(PATHS)
+        ends_at = time.monotonic() + seconds
+        while time.monotonic() < ends_at:
+            path = next(paths)
+            for index in range(len(self.deployment.instances)):
+                task = asyncio.ensure_future(self.post(index, path))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+
+    async def finish(self):
+        """Waits for the answers to all requests."""
+        await asyncio.gather(*self._tasks)
+
+    def served_share(self, indices):
+        """Returns the share of first tries at instances that were served."""
+        statuses = [
+            status for index in indices for status in self.statuses[index]
+        ]
+        return statuses.count(200) / len(statuses)
+
+    def counts(self):
+        """Returns how often each outcome was recorded, by instance."""
+        return {
+            index: dict(collections.Counter(statuses))
+            for index, statuses in sorted(self.statuses.items())
+        }
+
+
+async def _until_serving(deployment):
+    await deployment.until(lambda: min(deployment.serving()) >= 2)
+    await deployment.until(
+        lambda: all(
+            len(instance.roster.others) == len(deployment.instances) - 1
+            for instance in deployment.instances
+        )
+    )
+
+
+def _cut(deployment, indices, mode):
+    for index in indices:
+        deployment.links[index].cut(mode)
+
+
+async def _send_during_cut(deployment):
+    """Returns what came of the requests sent from the time that counts."""
+    before = _Callers(deployment)
+    await before.send(STABLE_AFTER_S)
+    callers = _Callers(deployment)
+    await callers.send(SEND_S)
+    await callers.finish()
+    await before.finish()
+    return callers
+
+
+def _check_served(callers, cut, others):
+    elsewhere = callers.served_share(others)
+    assert elsewhere >= MIN_SERVED_ELSEWHERE, callers.counts()
+    assert callers.served_share(cut) >= MIN_SERVED_RATIO * elsewhere, (
+        callers.counts()
+    )
+
+
+def _check_cut(mode, cut, others):
+    async def check(deployment):
+        await _until_serving(deployment)
+        for _ in range(2):
+            _cut(deployment, cut, mode)
+            callers = await _send_during_cut(deployment)
+            _check_served(callers, cut, others)
+            for index in cut:
+                deployment.links[index].restore()
+            await asyncio.sleep(STABLE_AFTER_S)
+        assert not deployment.platform.breaches
+
+    deployment_fixtures.run(check, **DEPLOYMENT)
+
+
+def test_callers_of_instances_whose_links_to_engines_hang_are_served():
+    _check_cut("hang", (0, 1), (2, 3))
+
+
+def test_callers_of_instances_whose_links_to_engines_are_reset_are_served():
+    _check_cut("reset", (0, 1), (2, 3))
+
+
+def test_callers_of_instances_that_engines_refuse_are_served():
+    _check_cut("refuse", (0, 1), (2, 3))
+
+
+def test_callers_are_served_while_most_instances_are_partitioned():
+    _check_cut("hang", (0, 1, 2), (3,))
+
+
+def _check_views_elsewhere(mode):
+    """Checks that instances with links go on using all replicas and engines."""
+
+    async def check(deployment):
+        await _until_serving(deployment)
+        _cut(deployment, (0, 1), mode)
+        callers = _Callers(deployment)
+        sending = asyncio.ensure_future(callers.send(2 * STABLE_AFTER_S))
+        suspended = set()
+        while not sending.done():
+            for instance in deployment.instances[2:]:
+                suspended |= instance.fleet.suspended.keys()
+            await asyncio.sleep(0.02)
+        await callers.finish()
+        assert not suspended, suspended
+        for instance in deployment.instances:
+            assert not instance.relay.quarantine.suspects
+
+    deployment_fixtures.run(check, **DEPLOYMENT)
+
+
+def test_silence_at_partitioned_instances_suspends_no_replica_elsewhere():
+    _check_views_elsewhere("hang")
+
+
+def test_refused_links_count_as_no_death_of_engines():
+    _check_views_elsewhere("refuse")
