Requests of an instance without links reach engines through a peer

While links are lost, each attempt goes through a peer that has links (rpc Carry): one that serves, by its load, the own zone first. What decides stays where the caller is: routes, accounts, the selection, the retry budget, the attempts, limits, quarantine and resuming. The peer makes one attempt at the named start of a known engine that isn't leaving, by its own connection, so there is one hop and the attempt counts once. It passes on head, body and end; a carriage that breaks is a broken answer. Another peer is offered the request only if one states that it didn't try. The remaining time and the end of the caller's connection reach the engine. Probes go the same way, so a death meanwhile is noticed; a peer that can't ask says so, which proves nothing. Streams on links that went silent move at once.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -119,8 +119,15 @@
     def _build_request_path(self) -> None:
         bounds = self.settings.bounds
         self.reach = reach.Reach()
+        self.peer_engines = carriage.PeerEngines(
+            lambda: self.statuses.peers_with_links(),
+            lambda peer_id: self.statuses.requests_in_flight(peer_id),
+            self.settings.instance.availability_zone,
+            self.metrics,
+            self.rng,
+        )
         self.linked_gateway = linked_gateway.LinkedGateway(
-            self.gateway, self.reach, self.clock
+            self.gateway, self.peer_engines, self.reach, self.clock
         )
         self.relay = factory.create_relay(
             relay.RelaySettings(
@@ -195,9 +202,6 @@
             self.peers.start_exchanges(is_urgent=True)
         )
         self.statuses.has_links = lambda: not self.reach.is_cut
-        self.peer_engines = carriage.PeerEngines(
-            self.statuses.peers_with_links, self.metrics
-        )
         self.link_checker = link_checks.LinkChecker(
             self.reach,
             self.fleet,
@@ -209,6 +213,17 @@
         )
         self.link_checker.on_changed = self._on_links_changed
         self.prober.confirm_links = self.link_checker.confirm_links
+        self.prober.links_lost_at = lambda: (
+            self.reach.changed_at if self.reach.is_cut else None
+        )
+        self.carriage = carriage.CarriageService(
+            self.fleet,
+            self.gateway,
+            self.link_checker.confirm_links,
+            lambda: not self.reach.is_cut and not self.is_leaving,
+            self.metrics,
+            self.clock,
+        )
 
     def _build_followers(self) -> None:
         self.engine_rows = row_cache.EngineRowCache(
@@ -312,6 +327,7 @@
         """Returns all metrics as text."""
         gauges = {
             "in_flight": self.relay.in_flight,
+            "carrying": self.carriage.running,
             "configuration_version": self.configuration.version,
             "store_calls": self.rows.calls,
             "probes": self.gateway.probes,
@@ -329,7 +345,14 @@
         """Opens the listeners and starts the background tasks."""
         for listener in self.listeners:
             await listener.listen()
-        self.peer_server = grpc.aio.server()
+        self.peer_server = grpc.aio.server(
+            options=(
+                (
+                    "grpc.max_receive_message_length",
+                    carriage.MAX_MESSAGE_BYTES,
+                ),
+            )
+        )
         entry_pb2_grpc.add_EntryServicer_to_server(
             entry_peers.EntryService(
                 self.statuses,
@@ -340,13 +363,7 @@
             self.peer_server,
         )
         carriage_pb2_grpc.add_CarriageServicer_to_server(
-            carriage.CarriageService(
-                self.fleet,
-                self.gateway,
-                self.link_checker.confirm_links,
-                self.clock,
-            ),
-            self.peer_server,
+            self.carriage, self.peer_server
         )
         self.peer_server.add_insecure_port(
             self.roster.own_presence.peer_address
@@ -392,7 +409,9 @@
         while phase is not stopping.StopPhase.ENDS:
             await asyncio.sleep(_TICK_S)
             phase = stopping.stop_phase(
-                self.clock() - started_at, grace_s, self.relay.in_flight
+                self.clock() - started_at,
+                grace_s,
+                self.relay.in_flight + self.carriage.running,
             )
             if phase is not stopping.StopPhase.SERVES:
                 self.caller_app.state.refuses_requests = True
--- a/tamarackpier/daemon/link_checks.py
+++ b/tamarackpier/daemon/link_checks.py
@@ -74,6 +74,8 @@
             since: Time at which the silent engines were asked, in seconds on
                 the monotonic clock.
         """
+        if self.reach.was_cut_at(since):
+            return True  # Peers asked them.
         if not self.reach.is_cut and self.reach.answered_at < since:
             await asyncio.shield(self._start())
         return not self.reach.is_cut
--- a/tamarackpier/daemon/linked_gateway.py
+++ b/tamarackpier/daemon/linked_gateway.py
@@ -1,4 +1,7 @@
-"""Client for calls to engines that records whether own links work."""
+"""Client for calls to engines, directly or through peers.
+
+Calls go through peers while own links to the engines are lost.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -6,6 +9,7 @@
 from returns import pipeline, result
 
 from tamarackpier import codes
+from tamarackpier.daemon import carriage
 from tamarackpier.fleet import model
 from tamarackpier.traffic import reach as reach_lib
 from tamarackpier.upstream import gateway
@@ -14,21 +18,25 @@
 
 
 class LinkedGateway(gateway.Gateway):
-    """Calls engines and records which calls were answered.
+    """Calls engines, directly or through peers.
 
     Attributes:
         direct: Client for direct calls to engines.
-        reach: Receives the outcome of each call as evidence.
+        peers: Client for calls to engines through peers.
+        reach: Decides which is used; gets the outcome of each direct call as
+            evidence.
         clock: Returns the monotonic time, in seconds.
     """
 
     def __init__(
         self,
         direct: gateway.Gateway,
+        peers: carriage.PeerEngines,
         reach: reach_lib.Reach,
         clock: Callable[[], float],
     ) -> None:
         self.direct = direct
+        self.peers = peers
         self.reach = reach
         self.clock = clock
 
@@ -38,6 +46,8 @@
         Raises:
             AnswerBrokenError: No answer arrived.
         """
+        if self.reach.is_cut:
+            return await self.peers.send(forward)
         contact = self.reach.begin(self.clock())
         try:
             answer = await self.direct.send(forward)
@@ -53,7 +63,13 @@
     async def report(
         self, engine: model.EngineRecord, timeout_s: float
     ) -> result.Result[model.EngineReport, codes.Fault]:
-        """Asks an engine for a report of its state."""
+        """Asks an engine for a report of its state.
+
+        Returns:
+            The report or a fault; `PEER_UNAVAILABLE` if no peer could ask it.
+        """
+        if self.reach.is_cut:
+            return await self.peers.report(engine, timeout_s)
         started_at = self.clock()
         report_result = await self.direct.report(engine, timeout_s)
         if pipeline.is_successful(report_result):
@@ -63,5 +79,5 @@
     async def order(
         self, order: model.Order, timeout_s: float
     ) -> model.OrderOutcome:
-        """Sends an order to an engine."""
+        """Sends an order to an engine, always directly."""
         return await self.direct.order(order, timeout_s)
--- a/tamarackpier/daemon/peer_status.py
+++ b/tamarackpier/daemon/peer_status.py
@@ -207,6 +207,13 @@
             and self.claims[peer.id].has_links
         ]
 
+    def requests_in_flight(self, peer_id: str) -> int:
+        """Returns the number of a peer's requests at engines, as reported."""
+        state = self.states.get(peer_id)
+        if state is None:
+            return 0
+        return sum(state.running) + sum(state.engines_running)
+
     def newer_configuration_peer(self, version: int) -> str | None:
         """Returns the ID of the live peer with the newest configuration.
 
--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -132,6 +132,8 @@
         confirm_links: Returns whether the silence of engines that were asked
             at a time, in seconds on the monotonic clock, is not that of own
             links.
+        links_lost_at: Returns since when own links to engines are known to be
+            lost, in seconds on the monotonic clock; None while they work.
         running_probes: The running probe of each replica, by key.
     """
 
@@ -155,6 +157,7 @@
             [model.ReplicaKey, ProbeResult, float], None
         ] = lambda key, probe_result, started_at: None
         self.confirm_links: Callable[[float], Awaitable[bool]] = _confirm
+        self.links_lost_at: Callable[[], float | None] = lambda: None
         self.running_probes: dict[
             model.ReplicaKey, asyncio.Task[ProbeResult | None]
         ] = {}
@@ -164,7 +167,12 @@
     def probe_silent_replicas(self) -> None:
         """Starts a probe round for each silent replica and rechecks engines."""
         now = self.clock()
+        links_lost_at = self.links_lost_at()
         for key, silence_s in self.streams.silent(now):
+            if links_lost_at is not None and self.streams.interrupt(
+                key, stream_attempts.LINKS_LOST, sent_before=links_lost_at
+            ):
+                continue
             self.probe(key, f"silent for {silence_s:.2f} s too long")
         for engine_id, silent_since in list(self.fleet.silent.items()):
             if (
@@ -260,7 +268,14 @@
         )
         now = self.clock()
         self.streams.probed_at[key] = now
-        if probe_result.silent and not await self.confirm_links(started_at):
+        is_doubtful = any(
+            not pipeline.is_successful(report_result)
+            and report_result.failure().code is codes.PEER_UNAVAILABLE
+            for report_result in report_results
+        )
+        if is_doubtful or (
+            probe_result.silent and not await self.confirm_links(started_at)
+        ):
             self.metrics.count("probe_inconclusive")
             return None
         now = self.clock()
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -131,6 +131,7 @@
         relay.clock(),
         event_interval_s,
         reading_s,
+        sent_at=relay.clock(),
     )
     if candidate.key is None:
         yield stream_attempt
--- a/tamarackpier/traffic/stream_attempts.py
+++ b/tamarackpier/traffic/stream_attempts.py
@@ -12,13 +12,22 @@
 
 from tamarackpier.fleet import model
 
-__all__ = ["STUCK", "STUCK_AFTER_S", "StreamAttempt", "StreamAttempts"]
+__all__ = [
+    "LINKS_LOST",
+    "STUCK",
+    "STUCK_AFTER_S",
+    "StreamAttempt",
+    "StreamAttempts",
+]
 
 # Reason for moving streams off a replica whose members all answer although its
 # lead sends nothing. Unlike a replica that lost a member, it may have started
 # the requests that it was sent.
 STUCK = "nothing moves"
 
+# Reason for moving streams off connections that work no more.
+LINKS_LOST = "own links to engines are lost"
+
 # Silence after which a replica is stuck and not slow, even if members answer.
 STUCK_AFTER_S = 1.5
 _MISSED_EVENTS = 2.5  # Event intervals without data before a probe.
@@ -49,6 +58,8 @@
         has_received_data: Whether the engine has sent any data.
         was_stalled_at_start: Whether the replica had stalled when the attempt
             was sent: a stream that it was running was overdue.
+        sent_at: Time at which the attempt began, in seconds on the relay's
+            clock.
     """
 
     request_id: str
@@ -61,6 +72,7 @@
     move_reason: str = ""
     has_received_data: bool = False
     was_stalled_at_start: bool = False
+    sent_at: float = 0.0
 
     def interrupt(self, reason: str) -> None:
         """Ends the attempt, so that the stream resumes at another replica."""
@@ -144,9 +156,25 @@
         )
         return max(longest_wait_since, self.last_data_at.get(key, 0.0))
 
-    def interrupt(self, key: model.ReplicaKey, reason: str) -> int:
-        """Ends all attempts at a replica; returns their number."""
-        attempts = list(self.by_key.get(key, ()))
+    def interrupt(
+        self,
+        key: model.ReplicaKey,
+        reason: str,
+        sent_before: float = math.inf,
+    ) -> int:
+        """Ends the attempts at a replica; returns their number.
+
+        Args:
+            key: Key of the replica.
+            reason: Why the streams have to resume at another replica.
+            sent_before: Time from which attempts have begun that go on, in
+                seconds on the relay's clock.
+        """
+        attempts = [
+            attempt
+            for attempt in self.by_key.get(key, ())
+            if attempt.sent_at < sent_before
+        ]
         for attempt in attempts:
             attempt.interrupt(reason)
         return len(attempts)
