A planner without links to engines hands its zone over

It also had the wrong view: a cut planner broke a replica up because a member did not answer it.

The zone claims now name the live instances without links. Such an instance releases its lease at once, contends for none and delays no other contender, unless no instance has links. An order with an unknown outcome counts as evidence on the links, like a failed request.

tests.test_partitioned_instances. test_a_partitioned_planner_hands_its_zone_to_an_instance_with_links: before, no other instance planned the zone within 3 s; now one does, replaces a lead that ends meanwhile, and no replica is lost when the links work again.

--- a/tamarackpier/daemon/linked_gateway.py
+++ b/tamarackpier/daemon/linked_gateway.py
@@ -80,4 +80,13 @@
         self, order: model.Order, timeout_s: float
     ) -> model.OrderOutcome:
         """Sends an order to an engine, always directly."""
-        return await self.direct.order(order, timeout_s)
+        contact = self.reach.begin(self.clock())
+        outcome = model.OrderOutcome.UNKNOWN
+        try:
+            outcome = await self.direct.order(order, timeout_s)
+        finally:
+            if outcome is model.OrderOutcome.UNKNOWN:
+                self.reach.fail(contact)
+            else:
+                self.reach.answer(contact)
+        return outcome
--- a/tamarackpier/daemon/peer_status.py
+++ b/tamarackpier/daemon/peer_status.py
@@ -193,9 +193,30 @@
                 planned.update(claim.planned_zones)
                 overtime.update(claim.overtime_zones)
         return zone_claims.ZoneClaims(
-            frozenset(planned - overtime), frozenset(overtime), self.fences
+            frozenset(planned - overtime),
+            frozenset(overtime),
+            self.fences,
+            self.instances_without_links(),
         )
 
+    def instances_without_links(self) -> frozenset[str]:
+        """Returns the IDs of the live instances without links to engines.
+
+        Returns none if no instance has links.
+        """
+        if self.has_links():
+            without_links = set()
+        elif self.peers_with_links():
+            without_links = {self.roster.own_presence.id}
+        else:
+            return frozenset()
+        without_links |= {
+            peer.id
+            for peer in self.roster.live(self.clock())
+            if peer.id in self.claims and not self.claims[peer.id].has_links
+        }
+        return frozenset(without_links)
+
     def peers_with_links(self) -> list[roster_lib.Presence]:
         """Returns the live peers that serve and have links to engines."""
         return [
--- a/tamarackpier/daemon/zone_lease.py
+++ b/tamarackpier/daemon/zone_lease.py
@@ -6,6 +6,9 @@
 numbers make engines refuse the orders of the previous planner. Overtime ends
 as soon as a peer plans the zone under a lease, or this instance no longer
 hears a majority of the known instances.
+
+An instance that has lost its links to engines neither plans nor contends while
+another one has links.
 """
 
 import asyncio
@@ -14,7 +17,7 @@
 
 from returns import pipeline
 
-from tamarackpier import clocks, codes, logs, metrics
+from tamarackpier import clocks, codes, logs, metrics, tasks
 from tamarackpier.fleet import fleet_view
 from tamarackpier.peer import roster as roster_lib
 from tamarackpier.peer import zone_claims
@@ -105,6 +108,7 @@
         self._unplanned_since: float | None = None
         self._must_wait = False
         self._claims = zone_claims.ZoneClaims()
+        self._tasks = tasks.Tasks()
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -125,6 +129,8 @@
         now = self.clock()
         self._claims = claims
         self._subtract_suspension()
+        if self.held is not None and not self._may_plan():
+            self._hand_over(self.held)
         self._update_unplanned_since(claims, now)
         is_idle = self._task is None or self._task.done()
         if is_idle and self._is_due(claims, now):
@@ -132,6 +138,16 @@
         self._update_overtime(claims, now)
         self._must_wait = self._must_wait_for_rival(claims, now)
 
+    def _may_plan(self) -> bool:
+        return self.roster.own_presence.id not in self._claims.without_links
+
+    def _hand_over(self, held: lease.HeldLease) -> None:
+        """Stops planning and releases the lease to another instance."""
+        is_valid = lease.holds(held, self.clock())
+        self._lose_lease("no links to engines")
+        if is_valid and held.row_version != _UNKNOWN_VERSION:
+            self._tasks.start(self.rows.transact(lease.release(held)))
+
     async def release(self) -> None:
         """Releases the lease so that another instance can plan at once."""
         self.is_stopping = True
@@ -165,7 +181,7 @@
 
     def _is_due(self, claims: zone_claims.ZoneClaims, now: float) -> bool:
         """Returns whether the next lease operation may start."""
-        if self.is_stopping:
+        if self.is_stopping or not self._may_plan():
             return False
         if self.held is not None:
             return now >= max(self.held.renew_at, self._next_step_at)
@@ -198,6 +214,7 @@
             instance
             for instance in self.roster.live(now)
             if not instance.is_leaving
+            and instance.id not in self._claims.without_links
         ]
         ranked = sorted(
             [own_presence, *peers],
@@ -258,6 +275,7 @@
         """
         return (
             not self.is_stopping
+            and self._may_plan()
             and self._unplanned_since is not None
             and bool(self.fleet.store_unreachable_for)
             and self.zone in claims.fences
--- a/tests/test_partitioned_instances.py
+++ b/tests/test_partitioned_instances.py
@@ -199,3 +199,52 @@
         await deployment.until(lambda: min(deployment.serving()) >= 2, 5.0)
 
     deployment_fixtures.run(check, **DEPLOYMENT)
+
+
+def _planners(deployment):
+    """Returns the indices of the instances that plan the zone."""
+    return [
+        index
+        for index, instance in enumerate(deployment.instances)
+        if any(
+            controller.is_planning
+            for controller in instance.zone_controllers.values()
+        )
+    ]
+
+
+def test_a_partitioned_planner_hands_its_zone_to_an_instance_with_links():
+    async def check(deployment):
+        await _until_serving(deployment)
+        (planner,) = _planners(deployment)
+        deployment.links[planner].cut("hang")
+        callers = _Callers(deployment)
+        await callers.send(1.0)
+        await callers.finish()
+        await deployment.until(
+            lambda: (
+                len(_planners(deployment)) == 1
+                and planner not in _planners(deployment)
+            ),
+            STABLE_AFTER_S,
+        )
+        lead = deployment.instances[planner].fleet.serving("drafts", "large")[0]
+        deployment.platform.crash(lead.lead.id, "")
+        others = [
+            instance
+            for index, instance in enumerate(deployment.instances)
+            if index != planner
+        ]
+        await deployment.until(
+            lambda: all(
+                lead.key not in instance.fleet.replicas() for instance in others
+            )
+        )
+        await _until_serving(deployment)
+        deployment.links[planner].restore()
+        keys = set(others[0].fleet.replicas())
+        await asyncio.sleep(STABLE_AFTER_S)
+        assert keys <= set(others[0].fleet.replicas())
+        assert not deployment.platform.breaches
+
+    deployment_fixtures.run(check, **DEPLOYMENT)
