Callers are not directed to a few instances without links

An instance that has lost its links to the engines serves through others, so its callers pay for a hop and use the capacity of two instances. Address answers named it like any other. They now leave such instances out while at least half of all instances have links; if fewer do, callers stay spread over all of them, since the rest could not take them all. Readiness is unchanged.

Two new tests; before, caller_addresses took no such argument and named all five instances in each case.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -317,7 +317,9 @@
 
     def addresses(self) -> list[str]:
         """Returns the addresses that callers may connect to."""
-        return self.roster.caller_addresses(self.clock())
+        return self.roster.caller_addresses(
+            self.clock(), self.statuses.instances_without_links()
+        )
 
     def address_keep_s(self) -> float:
         """Returns for how many seconds callers may keep an address."""
--- a/tamarackpier/peer/roster.py
+++ b/tamarackpier/peer/roster.py
@@ -7,7 +7,7 @@
 """
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 __all__ = ["MAX_DIRECT_PEERS", "Presence", "Roster"]
 
@@ -170,14 +170,31 @@
             del self.others[peer_id]
             self.refused.pop(peer_id, None)
 
-    def caller_addresses(self, now: float) -> list[str]:
-        """Returns the addresses of instances that accept callers, sorted."""
-        addresses = [
-            instance.caller_address
+    def caller_addresses(
+        self, now: float, without_links: Collection[str] = ()
+    ) -> list[str]:
+        """Returns the addresses of instances that accept callers, sorted.
+
+        Instances without links to engines serve through the others. They are
+        left out, unless more than half of all instances would be: the rest
+        could not take all callers.
+
+        Args:
+            now: Time in seconds on the monotonic clock.
+            without_links: IDs of the instances without links.
+        """
+        accepting = [
+            instance
             for instance in (self.own_presence, *self.live(now))
             if instance.is_ready and not instance.is_leaving
         ]
-        return sorted(addresses)
+        linked = [
+            instance
+            for instance in accepting
+            if instance.id not in without_links
+        ]
+        chosen = linked if 2 * len(linked) >= len(accepting) else accepting
+        return sorted(instance.caller_address for instance in chosen)
 
     def has_ended(self, peer_id: str, incarnation: int) -> bool:
         """Returns whether an incarnation is known to have ended."""
--- a/tests/test_partitioned_instances.py
+++ b/tests/test_partitioned_instances.py
@@ -8,7 +8,8 @@
 
 import aiohttp
 
-from tests import deployment_fixtures
+from tamarackpier.peer import roster as roster_lib
+from tests import deployment_fixtures, exchange_fixtures
 
 # Time after the start of a cut from which callers have to be served.
 STABLE_AFTER_S = 3.0
@@ -248,3 +249,29 @@
         assert not deployment.platform.breaches
 
     deployment_fixtures.run(check, **DEPLOYMENT)
+
+
+def _addresses(without_links):
+    """Returns the indices of the instances that callers are directed to."""
+    presences = [exchange_fixtures.presence(index) for index in range(5)]
+    roster = roster_lib.Roster(presences[0])
+    roster.merge(presences[1:], 0.0)
+    addresses = roster.caller_addresses(
+        0.0, frozenset(presences[index].id for index in without_links)
+    )
+    return [
+        index
+        for index, presence in enumerate(presences)
+        if presence.caller_address in addresses
+    ]
+
+
+def test_callers_are_not_directed_to_a_few_partitioned_instances():
+    assert _addresses(()) == [0, 1, 2, 3, 4]
+    assert _addresses((1,)) == [0, 2, 3, 4]
+    assert _addresses((0, 3)) == [1, 2, 4]
+
+
+def test_callers_are_spread_over_all_if_most_instances_are_partitioned():
+    assert _addresses((0, 1, 2)) == [0, 1, 2, 3, 4]
+    assert _addresses((0, 1, 2, 3, 4)) == [0, 1, 2, 3, 4]
