Tests of carriage; its server takes bodies up to the limit

The instance had the option; server and test now share its creation. A peer whose sender has gone no longer logs a traceback.

--- a/tamarackpier/daemon/carriage.py
+++ b/tamarackpier/daemon/carriage.py
@@ -18,7 +18,7 @@
 from tamarackpier.upstream import gateway
 from tamarackpier.wire import carriage_pb2, carriage_pb2_grpc
 
-__all__ = ["MAX_MESSAGE_BYTES", "CarriageService", "PeerEngines"]
+__all__ = ["MAX_CARRIED", "CarriageService", "PeerEngines", "create_server"]
 
 # Time that a call through a peer takes in addition: two round trips between
 # zones and the scheduling of both processes.
@@ -26,13 +26,13 @@
 _MAX_ASK_S = 1.0  # Longest time for which a peer asks an engine.
 # Requests that an instance carries at once. Each holds a body, and an instance
 # with links must go on serving its own callers while most have lost theirs.
-_MAX_CARRIED = 128
+MAX_CARRIED = 128
 # Peers that are offered a request before it is refused.
 _MAX_OFFERS = 3
 # Requests in flight that a peer in the own zone may have more than another.
 _OWN_ZONE_ALLOWANCE = 4
 # Largest message of a peer: the body of a request and its head.
-MAX_MESSAGE_BYTES = 16 << 20
+_MAX_MESSAGE_BYTES = 16 << 20
 # Bytes of an answer that wait here for a slow caller.
 _WINDOW_BYTES = 1 << 16
 # Part of the detail with which a call ends that found no connection.
@@ -47,11 +47,18 @@
     ("grpc.enable_retries", 0),
     ("grpc.http2.bdp_probe", 0),
     ("grpc.http2.lookahead_bytes", _WINDOW_BYTES),
-    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
-    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", _MAX_MESSAGE_BYTES),
 )
 
 
+def create_server() -> grpc.aio.Server:
+    """Returns a gRPC server that takes messages of the size allowed here."""
+    return grpc.aio.server(
+        options=(("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),)
+    )
+
+
 class CarriageService(carriage_pb2_grpc.CarriageServicer):
     """Calls engines for peers that have lost their links to them.
 
@@ -121,8 +128,9 @@
         self.running += 1
         try:
             await self._carry(_request_from_wire(request, engine), context)
-        except gateway.AnswerBrokenError as error:
-            await context.write(_failure_part(str(error), error.is_sent))
+        except grpc.aio.BaseError:
+            # The sender's connection has ended, and nothing can be told it.
+            self.metrics.count("carriage_left")
         finally:
             self.running -= 1
 
@@ -138,7 +146,7 @@
             return "engine is leaving"
         if not self.carries():
             return "has no links or is leaving"
-        if self.running >= _MAX_CARRIED:
+        if self.running >= MAX_CARRIED:
             return f"carries {self.running} requests"
         return ""
 
@@ -147,19 +155,23 @@
         forward: gateway.ForwardedRequest,
         context: grpc.aio.ServicerContext,
     ) -> None:
-        """Passes on the parts of an answer.
+        """Passes on the parts of an answer, and a failure for missing ones.
 
         Raises:
-            gateway.AnswerBrokenError: The answer is missing or incomplete.
+            grpc.aio.BaseError: The connection to the sender has ended.
         """
-        answer = await self.gateway.send(forward)
+        answer = None
         try:
+            answer = await self.gateway.send(forward)
             await context.write(_head_part(answer))
             while data := await answer.read():
                 await context.write(carriage_pb2.CarriedPart(data=data))
             await context.write(carriage_pb2.CarriedPart(is_end=True))
+        except gateway.AnswerBrokenError as error:
+            await context.write(_failure_part(str(error), error.is_sent))
         finally:
-            answer.close()
+            if answer is not None:
+                answer.close()
 
 
 class _Carriage:
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import aiohttp
-import grpc
 from absl import logging
 from returns import pipeline
 
@@ -347,14 +346,7 @@
         """Opens the listeners and starts the background tasks."""
         for listener in self.listeners:
             await listener.listen()
-        self.peer_server = grpc.aio.server(
-            options=(
-                (
-                    "grpc.max_receive_message_length",
-                    carriage.MAX_MESSAGE_BYTES,
-                ),
-            )
-        )
+        self.peer_server = carriage.create_server()
         entry_pb2_grpc.add_EntryServicer_to_server(
             entry_peers.EntryService(
                 self.statuses,
