A link check asks engines again after they answered peers

test_a_silence_of_all_engines_is_no_loss_of_links failed once: engines that go on just when a check ends had answered peers only, and the instance took its links for lost. The engines that answered peers are now asked once more, so that an answer is missing after one to a peer, not before. While no engine is thought to answer, any is asked.

--- a/tamarackpier/daemon/link_checks.py
+++ b/tamarackpier/daemon/link_checks.py
@@ -18,7 +18,7 @@
 _ASKED_COUNT = 4
 # Engines that are asked whether lost links work again.
 _RETURN_ASKED_COUNT = 2
-_ASK_TIMEOUT_S = 0.15  # 30 times the 5 ms that an answer takes.
+_ASK_TIMEOUT_S = 0.1  # 20 times the 5 ms that an answer takes.
 # Time after which peers are asked too.
 _PEERS_DELAY_S = 0.03
 # Largest number of peers that a check asks: most may be partitioned as well.
@@ -93,12 +93,14 @@
 
     async def _run(self) -> None:
         is_cut = self.reach.is_cut
+        engines = self.fleet.engines.values()
         targets = reach_lib.check_targets(
-            (
+            [
                 engine
-                for engine in self.fleet.engines.values()
+                for engine in engines
                 if engine.id not in self.fleet.silent and not engine.is_leaving
-            ),
+            ]
+            or engines,
             _RETURN_ASKED_COUNT if is_cut else _ASKED_COUNT,
             self.rng,
         )
@@ -118,6 +120,15 @@
             await _until(
                 lambda: not is_cut and bool(answered), asked, _ASK_TIMEOUT_S
             )
+            if not answered and answered_peers:
+                # All engines may have been silent until peers were answered.
+                again: list[asyncio.Future[None]] = [
+                    asyncio.ensure_future(self._ask(engine, answered))
+                    for engine in targets
+                    if engine.id in answered_peers
+                ]
+                asked += again
+                await _until(lambda: bool(answered), again, _ASK_TIMEOUT_S)
         finally:
             for task in asked:
                 task.cancel()
