An outage of all links refuses requests at once

With all instances partitioned, nobody can carry a request. Those of the plain service were held until their connections timed out, 1 s and more. After 2 s in which no engine has answered this instance or a peer, an attempt now fails without one, so the request is refused and has not run; checks go on twice a second until an engine answers. Shorter silences of all engines change nothing.

tests.test_partitioned_instances. test_a_cut_of_all_instances_is_refused_at_once_and_ends: before, requests were not answered within 0.3 s. Further tests pass as they are: orders run at most once over cuts of all kinds and the end of a carrying peer, an engine that ends during a cut is noticed, an engine is left within 0.5 s of its caller, and a probe that no peer could make suspends nothing.

--- a/tamarackpier/daemon/linked_gateway.py
+++ b/tamarackpier/daemon/linked_gateway.py
@@ -48,6 +48,10 @@
         """
         if self.reach.is_cut:
             return await self.peers.send(forward)
+        if self.reach.is_outage(self.clock()):
+            raise gateway.AnswerBrokenError(
+                "no engine answers this instance or its peers", False
+            )
         contact = self.reach.begin(self.clock())
         try:
             answer = await self.direct.send(forward)
--- a/tamarackpier/traffic/reach.py
+++ b/tamarackpier/traffic/reach.py
@@ -30,6 +30,9 @@
 # Time between two checks while no engine answers anyone, or while links are
 # known to be lost. Probes are charged.
 _IDLE_CHECK_INTERVAL_S = 0.5
+# Time for which no engine has answered anybody before requests are refused at
+# once. Sound engines fall silent for a second or so and go on.
+_OUTAGE_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, eq=False)
@@ -80,6 +83,8 @@
         self._failed_at = -math.inf
         self._pending: dict[Contact, None] = {}
         self._next_check_at = -math.inf
+        # Start of the first of the latest checks that nobody answered.
+        self._silent_since = math.inf
 
     def begin(self, now: float) -> Contact:
         """Records the start of a contact."""
@@ -106,11 +111,18 @@
         """Returns whether links are lost, and were known to be at a time."""
         return self.is_cut and self.changed_at <= at
 
+    def is_outage(self, now: float) -> bool:
+        """Returns whether no engine has answered anybody for some time."""
+        return self._is_silent() and now - self._silent_since > _OUTAGE_S
+
+    def _is_silent(self) -> bool:
+        return self.answered_at < self._silent_since < math.inf
+
     def is_check_due(self, now: float) -> bool:
         """Returns whether engines should be asked now."""
         if now < self._next_check_at:
             return False
-        if self.is_cut:
+        if self.is_cut or self._is_silent():
             return True
         if self._failed_at > self.answered_at:
             return now - self._failed_at > _FAILED_S
@@ -127,6 +139,10 @@
             Whether `is_cut` changed.
         """
         was_cut = self.is_cut
+        if check.answered or check.answered_peers or not check.asked:
+            self._silent_since = math.inf
+        elif not self._is_silent():
+            self._silent_since = check.started_at
         if was_cut:
             self.is_cut = not check.asked or (
                 len(check.answered) < len(check.asked)
--- a/tests/engine_links.py
+++ b/tests/engine_links.py
@@ -41,6 +41,10 @@
         for transport in self._transports():
             transport.resume_reading()
 
+    def open_count(self):
+        """Returns the number of open connections."""
+        return len(self._transports())
+
     def _transports(self):
         self._protocols = {
             protocol
--- a/tests/test_partitioned_instances.py
+++ b/tests/test_partitioned_instances.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from tamarackpier.peer import roster as roster_lib
-from tests import deployment_fixtures, exchange_fixtures
+from tests import deployment_fixtures, engine_links, exchange_fixtures
 
 # Time after the start of a cut from which callers have to be served.
 STABLE_AFTER_S = 3.0
@@ -18,6 +18,10 @@
 # Least share of first tries that instances with links serve.
 MIN_SERVED_ELSEWHERE = 0.9
 SEND_S = 3.0
+# Time in which an engine's connection is closed after its caller has left.
+LEFT_AFTER_S = 0.5
+# Longest time in which a request is refused that no engine can get.
+AT_ONCE_S = 0.3
 REQUESTS_PER_S = 10  # For each instance.
 PATHS = ("/draft/1", "/order/1", "/status/1")
 DEPLOYMENT = {
@@ -28,23 +32,27 @@
 }
 
 
+_NUMBERS = itertools.count()
+
+
 class _Callers:
     """Callers that send requests of all kinds, and never try again.
 
     Attributes:
         deployment: The deployment.
         statuses: Status of each answer, or the error, by instance.
+        outcomes: The same by request ID.
     """
 
     def __init__(self, deployment):
         self.deployment = deployment
         self.statuses = collections.defaultdict(list)
-        self._numbers = itertools.count()
+        self.outcomes = {}
         self._tasks = set()
 
     async def post(self, index, path):
         """Sends a request to an instance and records what came of it."""
-        request_id = f"request-{next(self._numbers)}"
+        request_id = f"request-{next(_NUMBERS)}"
         try:
             response, data = await self.deployment.post(
                 path, request_id, index, request_id.encode(), 20
@@ -56,10 +64,11 @@
         except aiohttp.ClientError as error:
             outcome = type(error).__name__
         self.statuses[index].append(outcome)
+        self.outcomes[request_id] = outcome
 
-    async def send(self, seconds):
+    async def send(self, seconds, paths=PATHS):
         """Sends requests of each kind in turn to all instances."""
-        paths = itertools.cycle(PATHS)
+        paths = itertools.cycle(paths)
         ends_at = time.monotonic() + seconds
         while time.monotonic() < ends_at:
             path = next(paths)
@@ -275,3 +284,126 @@
 def test_callers_are_spread_over_all_if_most_instances_are_partitioned():
     assert _addresses((0, 1, 2)) == [0, 1, 2, 3, 4]
     assert _addresses((0, 1, 2, 3, 4)) == [0, 1, 2, 3, 4]
+
+
+def test_orders_run_at_most_once_while_links_are_cut_and_restored():
+    async def check(deployment):
+        await _until_serving(deployment)
+        deployment.platform.plain_answer_s = 0.1
+        callers = _Callers(deployment)
+        sending = asyncio.ensure_future(callers.send(12.0, PATHS[1:2]))
+        for mode in engine_links.MODES:
+            _cut(deployment, (0, 1), mode)
+            await asyncio.sleep(1.5)
+            if mode == "reset":
+                await deployment.replace_instance(3)
+            await asyncio.sleep(1.0)
+            for links in deployment.links:
+                links.restore()
+            await asyncio.sleep(1.2)
+        await sending
+        await callers.finish()
+        ran = deployment.platform.ran
+        for request_id, outcome in callers.outcomes.items():
+            runs = len(ran[request_id])
+            assert runs <= 1, (request_id, outcome, ran[request_id])
+            if outcome in (408, 421, 429, 503):
+                assert not runs, (request_id, outcome)
+            if outcome == 200:
+                assert runs == 1, request_id
+        for instance in deployment.instances:
+            assert not any(instance.relay.invariants.breaches.values())
+
+    deployment_fixtures.run(check, **DEPLOYMENT)
+
+
+def test_an_engine_that_ends_during_a_cut_is_noticed_through_peers():
+    async def check(deployment):
+        await _until_serving(deployment)
+        _cut(deployment, (0, 1), "hang")
+        before = _Callers(deployment)
+        await before.send(1.5)
+        replica = deployment.instances[2].fleet.serving("drafts", "large")[0]
+        deployment.platform.fabric.kill(replica.members[1][1].id)
+        await before.send(STABLE_AFTER_S)
+        callers = _Callers(deployment)
+        await callers.send(SEND_S)
+        await callers.finish()
+        await before.finish()
+        _check_served(callers, (0, 1), (2, 3))
+        for instance in deployment.instances:
+            serving = instance.fleet.serving("drafts", "large")
+            assert replica.key not in [other.key for other in serving]
+
+    deployment_fixtures.run(check, **DEPLOYMENT)
+
+
+def test_an_engine_is_left_soon_after_a_caller_of_a_cut_instance_left():
+    async def check(deployment):
+        await _until_serving(deployment)
+        _cut(deployment, (0,), "refuse")
+        before = _Callers(deployment)
+        await before.send(1.0)
+        await before.finish()
+        assert deployment.instances[0].reach.is_cut
+        task = asyncio.ensure_future(
+            deployment.post(PATHS[0], "long", 0, b"{}", 400)
+        )
+        instances = deployment.instances
+        await deployment.until(
+            lambda: sum(other.carriage.running for other in instances) == 1
+        )
+        await asyncio.sleep(0.3)
+        task.cancel()
+        await deployment.until(
+            lambda: not any(other.carriage.running for other in instances),
+            LEFT_AFTER_S,
+        )
+        assert deployment.platform.ran["long"]
+        assert not any(links.open_count() for links in deployment.links[1:])
+
+    deployment_fixtures.run(check, **DEPLOYMENT)
+
+
+def test_a_cut_of_all_instances_is_refused_at_once_and_ends():
+    async def check(deployment):
+        await _until_serving(deployment)
+        indices = range(len(deployment.instances))
+        _cut(deployment, indices, "hang")
+        before = _Callers(deployment)
+        await before.send(STABLE_AFTER_S)
+        for path in PATHS:
+            started_at = time.monotonic()
+            callers = _Callers(deployment)
+            await asyncio.gather(
+                *(callers.post(index, path) for index in indices)
+            )
+            assert time.monotonic() - started_at < AT_ONCE_S
+            assert set(callers.outcomes.values()) == {503}, callers.counts()
+        for links in deployment.links:
+            links.restore()
+        await before.finish()
+        await before.send(STABLE_AFTER_S)
+        callers = _Callers(deployment)
+        await callers.send(1.0)
+        await callers.finish()
+        _check_served(callers, (0, 1), (2, 3))
+
+    deployment_fixtures.run(check, **DEPLOYMENT)
+
+
+def test_a_probe_that_no_peer_could_make_suspends_nothing():
+    async def check(deployment):
+        await _until_serving(deployment)
+        instance = deployment.instances[0]
+        _cut(deployment, (0,), "hang")
+        before = _Callers(deployment)
+        await before.send(1.0)
+        await before.finish()
+        assert instance.reach.is_cut
+        key = instance.fleet.serving("drafts", "large")[0].key
+        instance.peer_engines.candidates = list
+        assert await instance.prober.probe(key, "test") is None
+        assert key not in instance.fleet.suspended
+
+    deployment_fixtures.run(check, **DEPLOYMENT)
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -121,3 +121,19 @@
         for seed in range(50)
     }
     assert ranks == {0, 1, 2, 3}
+
+
+def test_a_silence_of_all_engines_is_an_outage_only_after_some_time():
+    reach = reach_lib.Reach()
+    for at in (1.0, 1.5, 2.0, 2.5):
+        reach.apply(_check(at=at), at + 0.1)
+        assert reach.is_check_due(at + 0.7)
+        assert not reach.is_outage(at + 0.1)
+    assert reach.is_outage(3.1)
+    reach.answer(reach.begin(3.2))
+    assert not reach.is_outage(3.3)
+    assert not reach.is_check_due(9.0)
+    reach.apply(_check(at=4.0), 4.1)
+    assert not reach.is_outage(4.2)
+    reach.apply(_check(["e1"], at=4.5), 4.6)
+    assert not reach.is_outage(9.0)
