A stuck carriage suspends no replica

Streams of a replica that send nothing for 1.5 s while all members answer suspend it at all instances. While a peer carries the streams, the peer may be what stands still, for instance frozen. They now move and the replica stays.

--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -283,7 +283,12 @@
             probe_result = dataclasses.replace(
                 probe_result, reason="a member is gone", must_reform=True
             )
-        if not probe_result.reason and self._is_stuck(key, probe_result, now):
+        is_stuck = self._is_stuck(key, probe_result, now)
+        if not probe_result.reason and is_stuck and self.links_lost_at():
+            # The peer that carries the streams may be what is stuck.
+            self.streams.interrupt(key, stream_attempts.STUCK)
+            is_stuck = False
+        if not probe_result.reason and is_stuck:
             probe_result = dataclasses.replace(
                 probe_result, reason=stream_attempts.STUCK, must_reform=True
             )
--- a/tests/test_partitioned_instances.py
+++ b/tests/test_partitioned_instances.py
@@ -5,11 +5,22 @@
 import itertools
 import math
 import time
+import types
 
 import aiohttp
+from returns import result
 
+from tamarackpier import metrics
+from tamarackpier.daemon import probing
+from tamarackpier.fleet import fleet_view, model
 from tamarackpier.peer import roster as roster_lib
-from tests import deployment_fixtures, engine_links, exchange_fixtures
+from tamarackpier.traffic import stream_attempts
+from tests import (
+    deployment_fixtures,
+    engine_links,
+    exchange_fixtures,
+    hosted_fixtures,
+)
 
 # Time after the start of a cut from which callers have to be served.
 STABLE_AFTER_S = 3.0
@@ -407,3 +418,39 @@
         assert key not in instance.fleet.suspended
 
     deployment_fixtures.run(check, **DEPLOYMENT)
+
+
+def _move(links_lost_at):
+    """Returns a probe's result and why a stream moved, at a silent replica."""
+
+    async def check():
+        gateway = types.SimpleNamespace(report=report)
+        fleet = fleet_view.FleetView()
+        fleet.set_services(hosted_fixtures.services())
+        fleet.replace(hosted_fixtures.replica_records(), 0.0)
+        streams = stream_attempts.StreamAttempts()
+        prober = probing.Prober(
+            fleet, gateway, streams, metrics.Metrics(), lambda: 10.0
+        )
+        prober.links_lost_at = lambda: links_lost_at
+        key = model.ReplicaKey("r1", 1)
+        scope = types.SimpleNamespace(reschedule=lambda when: None)
+        attempt = stream_attempts.StreamAttempt(
+            "q", key, "e", scope, 8.0, 0.04, 0.0, sent_at=8.0
+        )
+        streams.add(attempt, 0.0)
+        probe_result = await prober.probe(key, "silent")
+        assert bool(fleet.suspended) == bool(probe_result.reason)
+        return probe_result.reason, attempt.move_reason
+
+    async def report(engine, timeout_s):
+        return result.Success(
+            model.EngineReport(engine.id, engine.membership, 0, 0, 1.0)
+        )
+
+    return asyncio.run(check())
+
+
+def test_a_stuck_carriage_suspends_no_replica():
+    assert _move(None) == ("nothing moves", "nothing moves")
+    assert _move(5.0) == ("", "nothing moves")
