An answer of any kind shows that links work

Engines of plain services send none. Every answer now shows that a link works, whatever it holds.

test_engines_without_reports_show_that_links_work, before: the instance still took its links for lost after two answered checks.

--- a/tamarackpier/daemon/link_checks.py
+++ b/tamarackpier/daemon/link_checks.py
@@ -4,10 +4,8 @@
 import random
 from collections.abc import Callable
 
-from returns import pipeline
-
 from tamarackpier import logs, metrics
-from tamarackpier.daemon import carriage
+from tamarackpier.daemon import carriage, linked_gateway
 from tamarackpier.fleet import fleet_view, model
 from tamarackpier.traffic import reach as reach_lib
 from tamarackpier.upstream import gateway
@@ -172,7 +170,7 @@
         self, engine: model.EngineRecord, answered: set[str]
     ) -> None:
         report_result = await self.gateway.report(engine, _ASK_TIMEOUT_S)
-        if pipeline.is_successful(report_result):
+        if linked_gateway.is_answered(report_result):
             answered.add(engine.id)
 
     def _ask_peers(
@@ -192,7 +190,7 @@
         self, peer_id: str, engine: model.EngineRecord, answered: dict[str, str]
     ) -> None:
         report_result = await self.peers.ask(peer_id, engine, _ASK_TIMEOUT_S)
-        if pipeline.is_successful(report_result):
+        if linked_gateway.is_answered(report_result):
             answered[engine.id] = peer_id
 
 
--- a/tamarackpier/daemon/linked_gateway.py
+++ b/tamarackpier/daemon/linked_gateway.py
@@ -14,7 +14,27 @@
 from tamarackpier.traffic import reach as reach_lib
 from tamarackpier.upstream import gateway
 
-__all__ = ["LinkedGateway"]
+__all__ = ["LinkedGateway", "is_answered"]
+
+# Faults of a report that no engine has answered.
+_UNANSWERED_CODES = (
+    codes.CONNECTION_REFUSED,
+    codes.PEER_UNAVAILABLE,
+    codes.UPSTREAM_UNREACHABLE,
+)
+
+
+def is_answered(
+    report_result: result.Result[model.EngineReport, codes.Fault],
+) -> bool:
+    """Returns whether an engine answered, even if it sent no valid report.
+
+    Engines of plain services send none.
+    """
+    return (
+        pipeline.is_successful(report_result)
+        or report_result.failure().code not in _UNANSWERED_CODES
+    )
 
 
 class LinkedGateway(gateway.Gateway):
@@ -76,7 +96,7 @@
             return await self.peers.report(engine, timeout_s)
         started_at = self.clock()
         report_result = await self.direct.report(engine, timeout_s)
-        if pipeline.is_successful(report_result):
+        if is_answered(report_result):
             self.reach.answer(reach_lib.Contact(started_at))
         return report_result
 
--- a/tests/test_partitioned_instances.py
+++ b/tests/test_partitioned_instances.py
@@ -4,16 +4,18 @@
 import collections
 import itertools
 import math
+import random
 import time
 import types
 
 import aiohttp
 from returns import result
 
-from tamarackpier import metrics
-from tamarackpier.daemon import probing
+from tamarackpier import codes, failures, metrics
+from tamarackpier.daemon import link_checks, probing
 from tamarackpier.fleet import fleet_view, model
 from tamarackpier.peer import roster as roster_lib
+from tamarackpier.traffic import reach as reach_lib
 from tamarackpier.traffic import stream_attempts
 from tests import (
     deployment_fixtures,
@@ -454,3 +456,51 @@
 def test_a_stuck_carriage_suspends_no_replica():
     assert _move(None) == ("nothing moves", "nothing moves")
     assert _move(5.0) == ("", "nothing moves")
+
+
+def test_engines_without_reports_show_that_links_work():
+    async def check():
+        async def report(engine, timeout_s):
+            return failures.failure(codes.BAD_UPSTREAM_DATA, "HTTP 404")
+
+        fleet = fleet_view.FleetView()
+        for index in range(3):
+            fleet.put(hosted_fixtures.record(f"o{index}", service="orders"))
+        reach = reach_lib.Reach()
+        reach.apply(reach_lib.LinkCheck(0.0, ("e1",), (), {"e1": "p"}), 0.0)
+        assert reach.is_cut
+        checker = link_checks.LinkChecker(
+            reach,
+            fleet,
+            types.SimpleNamespace(report=report),
+            types.SimpleNamespace(candidates=list),
+            metrics.Metrics(),
+            lambda: 1.0,
+            random.Random(1),
+        )
+        checker.tick()
+        for _ in range(100):
+            await asyncio.sleep(0.01)
+            if not reach.is_cut:
+                break
+        assert not reach.is_cut
+
+    asyncio.run(check())
+
+
+def test_an_instance_uses_its_own_links_once_they_work_again():
+    async def check(deployment):
+        await _until_serving(deployment)
+        for mode in engine_links.MODES:
+            _cut(deployment, (0,), mode)
+            callers = _Callers(deployment)
+            await callers.send(1.0)
+            await callers.finish()
+            assert deployment.instances[0].reach.is_cut
+            deployment.links[0].restore()
+            await deployment.until(
+                lambda: not deployment.instances[0].reach.is_cut,
+                STABLE_AFTER_S,
+            )
+
+    deployment_fixtures.run(check, **DEPLOYMENT)
