--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -7,17 +7,19 @@
 from typing import Any
 
 import aiohttp
-import grpc
 from absl import logging
 from returns import pipeline
 
 from tamarackpier import failures, hosted_settings, logs, metrics
 from tamarackpier.daemon import (
     caller_app,
+    carriage,
     catch_up,
     crash_checks,
     entry_peers,
     hosted_apps,
+    link_checks,
+    linked_gateway,
     loops,
     peer_status,
     probing,
@@ -33,8 +35,8 @@
 from tamarackpier.peer import roster as roster_lib
 from tamarackpier.platform import decode, engines, interfaces, store, wire
 from tamarackpier.routing import table
-from tamarackpier.traffic import factory, relay, stopping
-from tamarackpier.wire import entry_pb2_grpc
+from tamarackpier.traffic import factory, reach, relay, stopping
+from tamarackpier.wire import carriage_pb2_grpc, entry_pb2_grpc
 
 __all__ = ["HostedInstance", "create_instance"]
 
@@ -117,6 +119,17 @@
 
     def _build_request_path(self) -> None:
         bounds = self.settings.bounds
+        self.reach = reach.Reach()
+        self.peer_engines = carriage.PeerEngines(
+            lambda: self.statuses.peers_with_links(),
+            lambda peer_id: self.statuses.requests_in_flight(peer_id),
+            self.settings.instance.availability_zone,
+            self.metrics,
+            self.rng,
+        )
+        self.linked_gateway = linked_gateway.LinkedGateway(
+            self.gateway, self.peer_engines, self.reach, self.clock
+        )
         self.relay = factory.create_relay(
             relay.RelaySettings(
                 self.settings.instance.availability_zone,
@@ -125,14 +138,14 @@
                 bounds.retry_window_s,
             ),
             self.fleet,
-            self.gateway,
+            self.linked_gateway,
             self.metrics,
             self.rng,
             self.clock,
         )
         self.prober = probing.Prober(
             self.fleet,
-            self.gateway,
+            self.linked_gateway,
             self.relay.streams,
             self.metrics,
             self.clock,
@@ -189,6 +202,33 @@
         self.prober.on_suspended = lambda suspension: (
             self.peers.start_exchanges(is_urgent=True)
         )
+        self.statuses.has_links = lambda: not self.reach.is_cut
+        self.link_checker = link_checks.LinkChecker(
+            self.reach,
+            self.fleet,
+            self.gateway,
+            self.peer_engines,
+            self.metrics,
+            self.clock,
+            self.rng,
+        )
+        self.link_checker.on_changed = self._on_links_changed
+        self.prober.confirm_links = self.link_checker.confirm_links
+        self.prober.links_lost_at = lambda: (
+            self.reach.changed_at if self.reach.is_cut else None
+        )
+        self.carriage = carriage.CarriageService(
+            self.fleet,
+            self.gateway,
+            self.link_checker.confirm_links,
+            lambda: not self.reach.is_cut and not self.is_leaving,
+            self.metrics,
+            self.clock,
+        )
+        self.carriage.wait_s = lambda engine: self.relay.waits.wait_s(
+            engine, self.clock()
+        )
+        self.carriage.record_wait = self.relay.record_wait
 
     def _build_followers(self) -> None:
         self.engine_rows = row_cache.EngineRowCache(
@@ -282,7 +322,9 @@
 
     def addresses(self) -> list[str]:
         """Returns the addresses that callers may connect to."""
-        return self.roster.caller_addresses(self.clock())
+        return self.roster.caller_addresses(
+            self.clock(), self.statuses.instances_without_links()
+        )
 
     def address_keep_s(self) -> float:
         """Returns for how many seconds callers may keep an address."""
@@ -292,9 +334,11 @@
         """Returns all metrics as text."""
         gauges = {
             "in_flight": self.relay.in_flight,
+            "carrying": self.carriage.running,
             "configuration_version": self.configuration.version,
             "store_calls": self.rows.calls,
             "probes": self.gateway.probes,
+            "links_lost": int(self.reach.is_cut),
         }
         invariants = self.relay.invariants
         for name, count in invariants.checks.items():
@@ -308,7 +352,7 @@
         """Opens the listeners and starts the background tasks."""
         for listener in self.listeners:
             await listener.listen()
-        self.peer_server = grpc.aio.server()
+        self.peer_server = carriage.create_server()
         entry_pb2_grpc.add_EntryServicer_to_server(
             entry_peers.EntryService(
                 self.statuses,
@@ -318,6 +362,9 @@
             ),
             self.peer_server,
         )
+        carriage_pb2_grpc.add_CarriageServicer_to_server(
+            self.carriage, self.peer_server
+        )
         self.peer_server.add_insecure_port(
             self.roster.own_presence.peer_address
         )
@@ -362,7 +409,9 @@
             phase = stopping.stop_phase(
                 self.clock() - started_at,
                 grace_s,
-                self.relay.in_flight + (not release.done()),
+                self.relay.in_flight
+                + self.carriage.running
+                + (not release.done()),
             )
             if phase is not stopping.StopPhase.SERVES:
                 self.relay.refuses_requests = True
@@ -396,6 +445,8 @@
             task.cancel()
         if self._registration is not None:
             self._registration.cancel()
+        self.link_checker.close()
+        await self.peer_engines.close()
         await self.peers.close()
         await self.peer_server.stop(0)
 
@@ -434,6 +485,12 @@
         self.fleet.mark_store_unreachable(_ROWS_COMPONENT)
         self.engine_rows.notify_waiters()
 
+    def _on_links_changed(self) -> None:
+        """Tells peers; what failed on lost links says nothing of engines."""
+        if self.reach.is_cut:
+            self.fleet.silent.clear()
+        self.peers.start_exchanges(is_urgent=True)
+
     def _on_store_restored(self) -> None:
         """Distrusts engine rows and writes again what the store may have lost.
 
@@ -473,7 +530,7 @@
                 zone,
                 self.rows,
                 self.fleet,
-                self.gateway,
+                self.linked_gateway,
                 self.prober,
                 self.roster,
                 lambda: self.configuration.routing,
@@ -499,6 +556,7 @@
     def tick(self) -> None:
         """Runs the periodic work that is due."""
         now = self.clock()
+        self.link_checker.tick()
         self.prober.probe_silent_replicas()
         expired = self.fleet.expire(now)
         if expired:
@@ -530,6 +588,9 @@
         self.relay.streams.keep_only(set(self.fleet.replicas()))
         self.relay.engine_scores.keep_only(set(self.fleet.engines))
         self.statuses.expire()
+        self.peer_engines.keep_only(
+            {peer.peer_address for peer in self.roster.live(now)}
+        )
         self._learn_era_from_peers()
         self.peers.start_exchanges()
         self.catch_up.tick(now)
--- a/tamarackpier/daemon/peer_status.py
+++ b/tamarackpier/daemon/peer_status.py
@@ -37,12 +37,14 @@
         planned_zones: Availability zones that it plans.
         overtime_zones: Subset of `planned_zones` whose lease has lapsed
             because the store does not answer.
+        has_links: Whether it has links to engines.
     """
 
     configuration_version: int
     engines_version: int
     planned_zones: tuple[str, ...]
     overtime_zones: tuple[str, ...]
+    has_links: bool = True
 
 
 class PeerStatuses:
@@ -59,6 +61,7 @@
         active_zones: Returns the controllers of the availability zones that
             this instance plans.
         clock: Returns the monotonic time, in seconds.
+        has_links: Returns whether this instance has links to engines.
         claims: The last claim of each peer, by ID.
         states: The last state message of each peer, by ID, for forwarding.
         fences: Highest reported fencing number, by zone.
@@ -85,6 +88,7 @@
         self.engines_version = engines_version
         self.active_zones = active_zones
         self.clock = clock
+        self.has_links: Callable[[], bool] = lambda: True
         self.claims: dict[str, Claim] = {}
         self.states: dict[str, entry_pb2.EntryState] = {}
         self.fences: dict[str, int] = {}
@@ -200,9 +204,48 @@
                 planned.update(claim.planned_zones)
                 overtime.update(claim.overtime_zones)
         return zone_claims.ZoneClaims(
-            frozenset(planned - overtime), frozenset(overtime), self.fences
+            frozenset(planned - overtime),
+            frozenset(overtime),
+            self.fences,
+            self.instances_without_links(),
         )
 
+    def instances_without_links(self) -> frozenset[str]:
+        """Returns the IDs of the live instances without links to engines.
+
+        Returns none if no instance has links.
+        """
+        if self.has_links():
+            without_links = set()
+        elif self.peers_with_links():
+            without_links = {self.roster.own_presence.id}
+        else:
+            return frozenset()
+        without_links |= {
+            peer.id
+            for peer in self.roster.live(self.clock())
+            if peer.id in self.claims and not self.claims[peer.id].has_links
+        }
+        return frozenset(without_links)
+
+    def peers_with_links(self) -> list[roster_lib.Presence]:
+        """Returns the live peers that serve and have links to engines."""
+        return [
+            peer
+            for peer in self.roster.live(self.clock())
+            if peer.is_ready
+            and not peer.is_leaving
+            and peer.id in self.claims
+            and self.claims[peer.id].has_links
+        ]
+
+    def requests_in_flight(self, peer_id: str) -> int:
+        """Returns the number of a peer's requests at engines, as reported."""
+        state = self.states.get(peer_id)
+        if state is None:
+            return 0
+        return sum(state.running) + sum(state.engines_running)
+
     def newer_configuration_peer(self, version: int) -> str | None:
         """Returns the ID of the live peer with the newest configuration.
 
@@ -274,6 +317,7 @@
             engines_running=[
                 max(0, usage.running) for usage in engine_usages.values()
             ],
+            lacks_links=not self.has_links(),
         )
 
     def _peers_to_introduce(
@@ -341,6 +385,7 @@
             state.engines_version,
             tuple(state.planned_zones),
             tuple(state.overtime_zones),
+            not state.lacks_links,
         )
         planned = zip(state.planned_zones, state.planned_fences, strict=False)
         for zone, fence in planned:
@@ -407,7 +452,7 @@
         suspension = fleet_view.Suspension(
             key, now + remaining_s, tuple(suspended.silent), suspended.reason
         )
-        self.prober.suspend(suspension, f"peer {sender}")
+        self.prober.receive_suspension(suspension, sender)
 
     def _receive_limit(
         self, message: entry_pb2.RateLimit, sender: str, now: float
--- a/tamarackpier/traffic/attempt.py
+++ b/tamarackpier/traffic/attempt.py
@@ -171,7 +171,9 @@
         ) from error
     if answer.matches_request:
         relay.record_limit(run, candidate, answer.max_request_rate)
-        relay.record_wait(run, candidate, answer.requested_wait_s)
+        relay.record_wait(
+            run.request.id, candidate.engine, answer.requested_wait_s
+        )
     problem = _check_answer(answer)
     if problem:
         answer.close()
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -646,26 +646,26 @@
 
     def record_wait(
         self,
-        run: run_lib.Run,
-        candidate: selection.Candidate,
+        request_id: str,
+        engine: fleet_model.EngineRecord,
         wait_s: float | None,
     ) -> None:
         """Records that an engine asked this instance to wait, if it did.
 
         Args:
-            run: State of the request.
-            candidate: Upstream that answered.
+            request_id: ID of the request that it answered.
+            engine: Engine that answered.
             wait_s: Seconds for which it wants no requests; None for no wait.
         """
         if not wait_s:
             return
-        if self.waits.record(candidate.engine, wait_s, self.clock()):
+        if self.waits.record(engine, wait_s, self.clock()):
             self.metrics.count("engine_wait")
             logs.event(
                 "engine asks to wait",
-                request=run.request.id,
-                engine=candidate.engine.id,
-                incarnation=candidate.engine.incarnation,
+                request=request_id,
+                engine=engine.id,
+                incarnation=engine.incarnation,
                 wait_s=wait_s,
             )
 
