Links count as lost if most engines answer peers only

A check now compares: links are lost if more of the engines asked answer a peer and not this instance than answer it. Only engines without an answer are asked through peers, and once more afterwards.

The check runs whenever all members of a replica are silent, whatever else has answered; if any member answers, links work, and the death of a member is noticed without a check, as before. Half of the engines asked end a check.

test_few_engines_within_reach_do_not_hide_that_links_are_lost failed before. It takes the place of test_one_answer_shows_that_links_work, which had asked for the opposite of the same answers; three further cases show what is no loss.

--- a/tamarackpier/daemon/crash_checks.py
+++ b/tamarackpier/daemon/crash_checks.py
@@ -5,7 +5,7 @@
 from returns import pipeline
 
 from tamarackpier import tasks
-from tamarackpier.daemon import probing
+from tamarackpier.daemon import linked_gateway, probing
 from tamarackpier.fleet import fleet_view, model
 from tamarackpier.traffic import crash_watch
 
@@ -72,7 +72,7 @@
             report_result = await self.prober.probe_engine(engine)
         finally:
             self._probing.discard(engine.id)
-        is_silent = not pipeline.is_successful(report_result)
+        is_silent = not linked_gateway.is_answered(report_result)
         if is_silent and not await self.prober.confirm_links(started_at):
             return
         has_ended = probing.has_ended(engine, report_result)
--- a/tamarackpier/daemon/link_checks.py
+++ b/tamarackpier/daemon/link_checks.py
@@ -65,8 +65,7 @@
     async def confirm_links(self, since: float) -> bool:
         """Returns whether the silence of engines is not that of own links.
 
-        Checks the links unless an engine has answered a later contact. If no
-        engine answers anybody, the engines are believed to be silent.
+        If no engine answers anybody, the engines are believed to be silent.
 
         Args:
             since: Time at which the silent engines were asked, in seconds on
@@ -74,7 +73,7 @@
         """
         if self.reach.was_cut_at(since):
             return True  # Peers asked them.
-        if not self.reach.is_cut and self.reach.answered_at < since:
+        if not self.reach.is_cut:
             await asyncio.shield(self._start())
         return not self.reach.is_cut
 
@@ -110,23 +109,28 @@
             for engine in targets
         ]
         asked = list(direct)
+
+        def have_most_answered() -> bool:
+            return 2 * len(answered) >= len(targets)
+
         try:
-            if not is_cut and targets:
-                await _until(lambda: bool(answered), direct, _PEERS_DELAY_S)
-                if not answered:
-                    asked += self._ask_peers(targets, answered_peers)
-            await _until(
-                lambda: not is_cut and bool(answered), asked, _ASK_TIMEOUT_S
-            )
-            if not answered and answered_peers:
-                # All engines may have been silent until peers were answered.
+            if is_cut:
+                await _until(lambda: False, direct, _ASK_TIMEOUT_S)
+            else:
+                await _until(have_most_answered, direct, _PEERS_DELAY_S)
+                if not have_most_answered():
+                    asked += self._ask_peers(targets, answered, answered_peers)
+                await _until(have_most_answered, asked, _ASK_TIMEOUT_S)
+            doubtful = answered_peers.keys() - answered
+            if len(doubtful) > len(answered):
+                # The engines may have been silent until peers were answered.
                 again: list[asyncio.Future[None]] = [
                     asyncio.ensure_future(self._ask(engine, answered))
                     for engine in targets
-                    if engine.id in answered_peers
+                    if engine.id in doubtful
                 ]
                 asked += again
-                await _until(lambda: bool(answered), again, _ASK_TIMEOUT_S)
+                await _until(have_most_answered, again, _ASK_TIMEOUT_S)
         finally:
             for task in asked:
                 task.cancel()
@@ -134,7 +138,11 @@
             started_at,
             frozenset(engine.id for engine in targets),
             frozenset(answered),
-            answered_peers,
+            {
+                engine_id: peer_id
+                for engine_id, peer_id in answered_peers.items()
+                if engine_id not in answered
+            },
         )
         self._apply(check)
 
@@ -174,14 +182,20 @@
             answered.add(engine.id)
 
     def _ask_peers(
-        self, targets: list[model.EngineRecord], answered: dict[str, str]
+        self,
+        targets: list[model.EngineRecord],
+        answered: set[str],
+        answered_peers: dict[str, str],
     ) -> list["asyncio.Future[None]"]:
-        """Starts to ask each of some peers about one of the engines."""
+        """Starts to ask each of some peers about an engine without answer."""
+        silent = [engine for engine in targets if engine.id not in answered]
         peers = self.peers.candidates()
         self.rng.shuffle(peers)
         return [
             asyncio.ensure_future(
-                self._ask_peer(peer.id, targets[index % len(targets)], answered)
+                self._ask_peer(
+                    peer.id, silent[index % len(silent)], answered_peers
+                )
             )
             for index, peer in enumerate(peers[:_MAX_PEERS])
         ]
--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from returns import pipeline, result
 
@@ -268,14 +268,7 @@
         )
         now = self.clock()
         self.streams.probed_at[key] = now
-        is_doubtful = any(
-            not pipeline.is_successful(report_result)
-            and report_result.failure().code is codes.PEER_UNAVAILABLE
-            for report_result in report_results
-        )
-        if is_doubtful or (
-            probe_result.silent and not await self.confirm_links(started_at)
-        ):
+        if await self._is_inconclusive(report_results, started_at):
             self.metrics.count("probe_inconclusive")
             return None
         now = self.clock()
@@ -314,6 +307,24 @@
         self.on_probed(key, probe_result, started_at)
         return probe_result
 
+    async def _is_inconclusive(
+        self, report_results: Sequence[ReportResult], started_at: float
+    ) -> bool:
+        """Returns whether the silence of members may be that of own links.
+
+        It is not if any member answers.
+        """
+        fault_codes = [
+            report_result.failure().code
+            for report_result in report_results
+            if not pipeline.is_successful(report_result)
+        ]
+        if codes.PEER_UNAVAILABLE in fault_codes:
+            return True
+        if len(fault_codes) < len(report_results):
+            return False
+        return not await self.confirm_links(started_at)
+
     def _is_stuck(
         self, key: model.ReplicaKey, probe_result: ProbeResult, now: float
     ) -> bool:
--- a/tamarackpier/traffic/reach.py
+++ b/tamarackpier/traffic/reach.py
@@ -3,7 +3,7 @@
 An engine that does not answer may have ended, or this instance may be
 partitioned from it. Engines that answer other instances and not this one tell
 the two apart: one link check asks several engines at once, directly and through
-peers.
+peers. A few engines may still be within reach.
 
 Only contacts that began after a doubtful one clear it: connections that are
 open may live on while new ones fail.
@@ -54,7 +54,8 @@
         started_at: Start of the check, in seconds on the monotonic clock.
         asked: IDs of the engines that were asked directly.
         answered: Those of them that answered.
-        answered_peers: Peer that an engine answered meanwhile, by engine ID.
+        answered_peers: Peer that an engine answered which did not answer this
+            instance, by engine ID.
     """
 
     started_at: float
@@ -67,8 +68,8 @@
     """Whether the links of this instance to the engines work.
 
     Attributes:
-        is_cut: Whether they are lost: engines answer peers, and none of the
-            engines asked answers this instance.
+        is_cut: Whether they are lost: of the engines that answer anybody,
+            most do not answer this instance.
         changed_at: Time of the last change of `is_cut`, in seconds on the
             monotonic clock.
         answered_at: Start of the latest contact that was answered, in seconds
@@ -147,8 +148,8 @@
             self.is_cut = not check.asked or (
                 len(check.answered) < len(check.asked)
             )
-        elif not check.answered:
-            self.is_cut = bool(check.asked and check.answered_peers)
+        else:
+            self.is_cut = len(check.answered_peers) > len(check.answered)
         if check.answered and not self.is_cut:
             self.answered_at = max(self.answered_at, check.started_at)
         is_idle = self.is_cut or not check.answered
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -24,9 +24,17 @@
     assert _cut_reach().is_cut
 
 
-def test_one_answer_shows_that_links_work():
+def test_few_engines_within_reach_do_not_hide_that_links_are_lost():
     reach = reach_lib.Reach()
-    assert not reach.apply(_check(["e4"], ["e1", "e2"]), 0.2)
+    assert reach.apply(_check(["e4"], ["e1", "e2"]), 0.2)
+    assert reach.is_cut
+
+
+def test_few_engines_that_answer_only_peers_are_no_loss_of_all_links():
+    reach = reach_lib.Reach()
+    assert not reach.apply(_check(["e4"], ["e1"]), 0.2)
+    assert not reach.apply(_check(["e3", "e4"], ["e1", "e2"]), 0.2)
+    assert not reach.apply(_check(["e4"]), 0.2)
     assert not reach.is_cut
 
 
