--- a/tamarackpier/standin/fabric.py
+++ b/tamarackpier/standin/fabric.py
@@ -41,6 +41,9 @@
         killed_at: Time at which its process ended; 0 while it runs.
         cut_at: Time at which it was cut off from the network; None if it is
             not cut off.
+        stored_at: Time at which it was cut off from the store; None if it
+            writes its row.
+        stored_record: Its row in the store while it is cut off from it.
         highest_fence: Highest fencing number of the joins that it accepted.
         members: IDs of the engines of its replica, in order of rank.
         ready_at: Time at which it finishes joining; None if it is not joining.
@@ -55,6 +58,8 @@
     is_alive: bool = True
     killed_at: float = 0.0
     cut_at: float | None = None
+    stored_at: float | None = None
+    stored_record: model.EngineRecord | None = None
     highest_fence: int = 0
     members: tuple[str, ...] = ()
     ready_at: float | None = None
@@ -135,23 +140,36 @@
         """Cuts an engine off from the network; it keeps running."""
         self.engines[name].cut_at = self.now
 
+    def cut_from_store(self, name: str) -> None:
+        """Cuts an engine off from the store only."""
+        engine = self.engines[name]
+        if engine.stored_at is None:
+            engine.stored_at = self._last_reachable_at(engine)
+            engine.stored_record = engine.record
+
     def heal(self) -> None:
         """Reconnects all engines that are cut off."""
         for engine in self.engines.values():
             engine.cut_at = None
+            engine.stored_at = None
+            engine.stored_record = None
 
     def rows(self) -> list[model.EngineRecord]:
         """Returns the engine rows that the platform's store holds."""
         return [
-            engine.record
+            engine.stored_record or engine.record
             for engine in self.engines.values()
             if self.now - self._last_reachable_at(engine) < _ROW_EXPIRY_S
         ]
 
     def _last_reachable_at(self, engine: FabricEngine) -> float:
+        """Returns the time at which an engine could last write its row."""
+        times = [
+            at for at in (engine.cut_at, engine.stored_at) if at is not None
+        ]
         if not engine.is_alive:
-            return engine.killed_at
-        return self.now if engine.cut_at is None else engine.cut_at
+            times.append(engine.killed_at)
+        return min(times, default=self.now)
 
     def is_reachable(self, name: str) -> bool:
         """Returns whether an engine answers probes, orders and requests."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,9 +1,11 @@
 """Tests the fleet view and the planner of an availability zone."""
 
+import collections
 import dataclasses
 import random
 
 from tamarackpier.fleet import fleet_view, model, zone_planner
+from tamarackpier.routing import model as routing_model
 from tamarackpier.standin import fabric as fabric_lib
 from tests import hosted_fixtures
 
@@ -13,11 +15,23 @@
 # Time from the return of the store until its rows are up to date.
 ROWS_RETURN_S = 2.0
 OBSERVED_SHARE = 0.3  # Share of the engines that are probed in each tick.
-
-
-def _create_fleet(records):
+# Ticks after which the age of the rows that are read changes, on average.
+ROW_LAG_TICKS = 10
+ROW_LAG_S = 0.8  # Maximum age of rows that count as up to date.
+# Replicas of many engines, of which a domain holds one and a few spares.
+WIDE_SPEC = dataclasses.replace(
+    hosted_fixtures.SPEC,
+    models=(
+        routing_model.ModelSpec("large", 16, 0.5, 1.0, 16.0, 1.6),
+        routing_model.ModelSpec("small", 4, 0.5, 0.6, 12.0, 1.1),
+    ),
+)
+WIDE_DOMAIN = 19  # Number of engines.
+
+
+def _create_fleet(records, spec=hosted_fixtures.SPEC):
     fleet = fleet_view.FleetView()
-    fleet.set_services(hosted_fixtures.services())
+    fleet.set_services({"drafts": routing_model.ServiceSpec("drafts", spec)})
     fleet.replace(records, 0.0)
     return fleet
 
@@ -60,6 +74,7 @@
         stale_rows: Rows as of the loss of the store; None if rows are read
             from the fabric.
         rows_fresh_at: Time from which rows are read from the fabric again.
+        max_row_lag_s: Maximum age of the rows that are read, in seconds.
     """
 
     def __init__(
@@ -69,13 +84,14 @@
         engines=9,
         delayed_share=0.0,
         spec=hosted_fixtures.SPEC,
+        max_row_lag_s=0.0,
     ):
         self.rng = random.Random(seed)
         self.delayed_share = delayed_share
         self.spec = spec
         self.running = {}
         self.fabric = fabric_lib.create_fabric(spec, domains, engines, self.rng)
-        self.fleet = _create_fleet([])
+        self.fleet = _create_fleet([], spec)
         self.planner = _create_planner(spec=spec)
         self.now = 0.0
         self.failed_at = {}
@@ -83,6 +99,9 @@
         self.order_count = 0
         self.stale_rows = None
         self.rows_fresh_at = 0.0
+        self.max_row_lag_s = max_row_lag_s
+        self._row_lag_s = 0.0
+        self._unread_rows = collections.deque()
 
     def run(self, duration_s):
         ends_at = self.now + duration_s
@@ -103,6 +122,11 @@
         self.planner_count += 1
         self.planner = _create_planner(self.now, self.planner_count, self.spec)
 
+    def hand_over(self):
+        """Has another instance take the zone, which distrusts the rows."""
+        self.replace_planner()
+        self.fleet.mark_rows_stale(self.now)
+
     def disconnect_store(self):
         """Makes the store unreachable; rows stay as they are meanwhile."""
         self.stale_rows = self.fabric.rows()
@@ -117,7 +141,7 @@
     def replace_instance(self):
         """Replaces the instance with one that has read only stale rows."""
         self.replace_planner()
-        self.fleet = _create_fleet([])
+        self.fleet = _create_fleet([], self.spec)
         self.fleet.mark_rows_stale(self.now)
         if self.rows_fresh_at == float("inf"):
             self.fleet.mark_store_unreachable("rows")
@@ -126,10 +150,23 @@
         if self.now >= self.rows_fresh_at:
             self.stale_rows = None
         if self.stale_rows is None:
-            self.fleet.replace(self.fabric.rows(), self.now)
+            self._read_delayed_rows()
         elif not self.fleet.engines:
             self.fleet.replace(self.stale_rows, self.now)
 
+    def _read_delayed_rows(self):
+        if self.rng.random() < 1 / ROW_LAG_TICKS:
+            self._row_lag_s = self.rng.uniform(0, self.max_row_lag_s)
+        self._unread_rows.append((self.now, self.fabric.rows()))
+        rows = None
+        while (
+            self._unread_rows
+            and self._unread_rows[0][0] <= self.now - self._row_lag_s
+        ):
+            rows = self._unread_rows.popleft()[1]
+        if rows is not None:
+            self.fleet.replace(rows, self.now)
+
     def _observe(self):
         if not self.fleet.may_be_stale(self.now):
             return
@@ -165,6 +202,16 @@
             self.fabric.cut(name)
             self.failed_at[name] = self.now
 
+    def cut_from_store(self, count):
+        """Disconnects random engines from the store only."""
+        alive = [
+            name
+            for name, engine in self.fabric.engines.items()
+            if engine.is_alive
+        ]
+        for name in self.rng.sample(alive, min(count, len(alive))):
+            self.fabric.cut_from_store(name)
+
     def heal(self):
         """Reconnects all engines that were cut off."""
         for name, engine in self.fabric.engines.items():
@@ -364,6 +411,63 @@
         assert zone.fabric.serving("large") + zone.fabric.serving("small") >= 1
 
 
+def _run_wide_zone(seed, delayed_share, act):
+    """Runs a zone of wide replicas in which engines crash all the time.
+
+    The fabric raises an error at wrong orders.
+
+    Args:
+        seed: Seed of the random draws.
+        delayed_share: Share of the orders that arrive late, in about every
+            other step.
+        act: Called with the zone in each step, to disturb it further.
+    """
+    zone = _Zone(seed, 1, WIDE_DOMAIN, 0.0, WIDE_SPEC, ROW_LAG_S)
+    zone.running = {"large": 20, "small": 20}
+    zone.run(40)
+    for step in range(10):
+        zone.delayed_share = zone.rng.choice((0.0, delayed_share))
+        kill_count = zone.rng.choice((1, 2, 3))
+        zone.kill(kill_count)
+        act(zone)
+        zone.run(zone.rng.uniform(0.3, 5.0))
+        if zone.stale_rows is not None and zone.rows_fresh_at > zone.now:
+            zone.reconnect_store()
+        if zone.rng.random() < 0.6:
+            zone.heal()
+        for index in range(kill_count):
+            zone.fabric.add(f"n{step}-{index}", "drafts", "zone-a", "d0")
+        zone.run(zone.rng.uniform(0.3, 6.0))
+
+
+def test_no_engine_joins_twice_by_an_order_that_was_sent_again():
+    """Guards against the release of engines that join again by late orders."""
+
+    def act(zone):
+        if zone.rng.random() < 0.3:
+            zone.hand_over()
+        if zone.rng.random() < 0.3:
+            zone.cut()
+
+    for seed in range(40):
+        _run_wide_zone(seed, 0.3, act)
+
+
+def test_no_engine_joins_twice_while_it_cannot_reach_the_store():
+    """Guards against rows that the store still has of engines cut from it."""
+
+    def act(zone):
+        if zone.rng.random() < 0.4:
+            zone.cut_from_store(3)
+        if zone.rng.random() < 0.3:
+            zone.hand_over()
+        if zone.rng.random() < 0.3:
+            zone.disconnect_store()
+
+    for seed in range(40):
+        _run_wide_zone(seed, 0.0, act)
+
+
 def test_replica_is_replaced_while_the_store_is_unreachable():
     zone = _Zone(2, domains=1)
     zone.run(60)
