Log in which replica an engine was known to be when it got an order

The log named the replica of an order, but not what the engine was taken for: in none by its row, or released from another one.

--- a/tamarackpier/daemon/zone_controller.py
+++ b/tamarackpier/daemon/zone_controller.py
@@ -213,6 +213,7 @@
         started_at = self.clock()
         outcome = await self.gateway.order(order, _ORDER_TIMEOUT_S)
         now = self.clock()
+        previous = order.engine.membership
         self.metrics.count("order", f"{order.kind.value}.{outcome.value}")
         self.metrics.record("order", now - started_at)
         logs.event(
@@ -222,6 +223,8 @@
             replica=order.key.replica if order.key else "",
             fence=order.key.fence if order.key else 0,
             model=order.model,
+            known_replica=previous.key.replica if previous else "",
+            known_state=previous.state.value if previous else "",
             reason=order.reason,
             outcome=outcome.value,
             took_s=round(now - started_at, 4),
