Release an engine only after it has left its replica itself

Cause: once a lead had left, or its row named another replica or none, all its members counted as free without an order of their own; so did those of a formation that was given up before its lead was ordered to open. They stayed members, as the engines see it. An order to join or to open that was sent again, and whose first copy was carried out 2 to 12 s later, brought the lead back into the replica, open, with members that the planner was giving away.

Each member is now ordered to leave, after the lead where that can be reached, and is free once it has confirmed that. A lead that a row shows elsewhere has confirmed nothing: rows can be older than what the engine does. A formation that is given up retires like any other replica, so nothing needs to remember whether its lead may have been ordered to open.

test_members_of_a_lead_that_left_are_not_free_before_they_have_left fails before (the members are joined at once, without an order to leave). test_members_are_not_reused_before_their_lead_has_left expected the retirement to end with the lead's leaving; it now expects the members' as well, and fails before too.

--- a/tamarackpier/fleet/formation.py
+++ b/tamarackpier/fleet/formation.py
@@ -21,7 +21,6 @@
         started_at: Start of the formation, in seconds on the monotonic clock.
         timeout_s: Maximum duration of the formation, in seconds.
         load_count: Number of members that have to load weights.
-        may_be_open: Whether another planner may have ordered its lead to open.
         joined: IDs of the members that have accepted their order to join.
         sent_orders: Orders sent for this formation.
     """
@@ -33,7 +32,6 @@
     started_at: float
     timeout_s: float
     load_count: int = 0
-    may_be_open: bool = False
     joined: set[str] = dataclasses.field(default_factory=set)
     sent_orders: sent_orders_lib.SentOrders = dataclasses.field(
         default_factory=sent_orders_lib.SentOrders
--- a/tamarackpier/fleet/retirement.py
+++ b/tamarackpier/fleet/retirement.py
@@ -1,8 +1,9 @@
 """Retires replicas that can no longer serve and releases their members.
 
-A member is released for another replica only after the lead, or the member
-itself, has left the replica: an engine that cannot be reached may still be
-running, with its replica open.
+A member is released for another replica only after it has left itself. The lead
+leaves first if it can be reached. One that cannot be reached may still be
+running, with its replica open; one that has left may join and open again by
+orders that it carries out late.
 """
 
 import dataclasses
@@ -21,6 +22,8 @@
 # Longest wait of an open replica with a leaving member for spares; the platform
 # grants a leaving member 10 s while there is work.
 _LEAVE_TIMEOUT_S = 6.0
+# Failed replicas that are remembered; some are never seen in any row.
+_MAX_FAILED_REPLICAS = 4096
 
 # Outcomes of an order to leave after which the engine is not in the replica.
 _LEFT_OUTCOMES = (
@@ -81,10 +84,15 @@
     def prune(self, replicas: Mapping[model.ReplicaKey, model.Replica]) -> None:
         """Forgets the replicas that no row names any more.
 
+        Failed ones may be named later; the oldest of too many are forgotten.
+
         Args:
             replicas: Replicas that a row names, by key.
         """
         self.completed &= set(replicas)
+        if len(self.confirmed_failed) > _MAX_FAILED_REPLICAS:
+            newest = sorted(self.confirmed_failed, key=lambda key: key.fence)
+            self.confirmed_failed = set(newest[-_MAX_FAILED_REPLICAS:])
         for since_by_key in (self._unready_since, self._leaving_since):
             for key in [key for key in since_by_key if key not in replicas]:
                 del since_by_key[key]
@@ -129,8 +137,8 @@
     ) -> list[model.Order]:
         """Returns the orders to send now to the members of retiring replicas.
 
-        Releases the members of a replica once its lead, or every member that
-        can be reached, has left it.
+        The members of a replica are ordered to leave once its lead has left,
+        or cannot be reached.
         """
         orders = []
         for retirement in list(self.active.values()):
@@ -218,10 +226,12 @@
         """Returns the orders for a retirement; completes it if it is over."""
         key = retirement.replica.key
         lead = retirement.replica.lead
-        if retirement.has_lead_left or _has_left(lead, key, fleet):
-            return self._complete(retirement, fleet)
         current_lead = _current_member(lead, key, fleet)
-        if current_lead is None or current_lead.id in fleet.silent:
+        if (
+            retirement.has_lead_left
+            or current_lead is None
+            or current_lead.id in fleet.silent
+        ):
             return self._order_members_to_leave(retirement, fleet, now)
         kind = model.OrderKind.LEAVE
         if self._is_draining(retirement, current_lead, now):
@@ -245,7 +255,7 @@
     def _order_members_to_leave(
         self, retirement: Retirement, fleet: fleet_view.FleetView, now: float
     ) -> list[model.Order]:
-        """Returns orders to leave for each member; the lead is gone or silent.
+        """Returns orders to leave for each member that has not left.
 
         Completes the retirement if no reachable member is left in the replica.
         """
@@ -258,7 +268,8 @@
             if self.released.get(engine.id) != key:
                 remaining.append(engine)
         if not remaining:
-            return self._complete(retirement, fleet)
+            self._complete(key)
+            return []
         orders = []
         for engine in remaining:
             order = model.Order(
@@ -267,25 +278,11 @@
             orders += retirement.sent_orders.take_if_due(order, now)
         return orders
 
-    def _complete(
-        self, retirement: Retirement, fleet: fleet_view.FleetView
-    ) -> list[model.Order]:
-        """Ends a retirement after its lead, or each reachable member, has left.
-
-        Releases the members that are not silent.
-
-        Returns:
-            An empty list, since no orders remain.
-        """
-        key = retirement.replica.key
-        for _, member in retirement.replica.members:
-            engine = _current_member(member, key, fleet)
-            if engine is not None and engine.id not in fleet.silent:
-                self.released[member.id] = key
+    def _complete(self, key: model.ReplicaKey) -> None:
+        """Ends a retirement after each member that can be reached has left."""
         del self.active[key]
         self.confirmed_failed.discard(key)
         self.completed.add(key)
-        return []
 
 
 def _member_state(engine: model.EngineRecord) -> model.MemberState | None:
@@ -302,19 +299,3 @@
     if current is None or current.membership is None:
         return None
     return current if current.membership.key == key else None
-
-
-def _has_left(
-    lead: model.EngineRecord | None,
-    key: model.ReplicaKey,
-    fleet: fleet_view.FleetView,
-) -> bool:
-    """Returns whether a lead reports that it is no longer in the replica.
-
-    A missing row does not count: the engine may still be running, cut off from
-    the store, with its replica open.
-    """
-    current = fleet.engines.get(lead.id) if lead else None
-    if current is None or current.id in fleet.silent:
-        return False
-    return current.membership is None or current.membership.key != key
--- a/tamarackpier/fleet/sent_orders.py
+++ b/tamarackpier/fleet/sent_orders.py
@@ -37,7 +37,3 @@
             return []
         self.sent_at[engine_and_kind] = now
         return [order]
-
-    def was_sent(self, engine_id: str, kind: model.OrderKind) -> bool:
-        """Returns whether an order of this kind was ever sent to an engine."""
-        return (engine_id, kind) in self.sent_at
--- a/tamarackpier/fleet/zone_planner.py
+++ b/tamarackpier/fleet/zone_planner.py
@@ -249,7 +249,6 @@
             tuple(engine.incarnation for engine in engines),
             now,
             _JOIN_SLACK_S,
-            may_be_open=True,
             joined={engine.id for engine in engines},
         )
 
@@ -270,20 +269,9 @@
         return orders
 
     def _abort(self, formation: formation_lib.Formation) -> None:
-        """Aborts the formation of a replica.
-
-        Its members are released at once if the lead cannot have been ordered
-        to open; otherwise the lead has to leave first, as with any replica.
-        """
+        """Aborts the formation of a replica; its members have to leave it."""
         self.formations.pop(formation.key, None)
-        was_open_ordered = formation.sent_orders.was_sent(
-            formation.members[0], model.OrderKind.OPEN
-        )
-        if was_open_ordered or formation.may_be_open:
-            self.retirements.confirmed_failed.add(formation.key)
-            return
-        for engine_id in formation.members:
-            self.retirements.released[engine_id] = formation.key
+        self.retirements.confirmed_failed.add(formation.key)
 
     def _free_engines(
         self, fleet: fleet_view.FleetView, now: float
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -311,7 +311,14 @@
     planner.record_outcome(orders[0], model.OrderOutcome.UNKNOWN)
     assert planner.tick(fleet, {}, 0.3) == []
     planner.record_outcome(orders[0], model.OrderOutcome.ACCEPTED)
-    planner.tick(fleet, {}, 0.5)
+    leaves = planner.tick(fleet, {}, 0.5)
+    assert [(order.kind, order.engine.id) for order in leaves] == [
+        (model.OrderKind.LEAVE, "r1-1"),
+        (model.OrderKind.LEAVE, "r1-3"),
+    ]
+    for order in leaves:
+        planner.record_outcome(order, model.OrderOutcome.ACCEPTED)
+    planner.tick(fleet, {}, 0.6)
     assert model.ReplicaKey("r1", 1) not in planner.retirements.active
 
 
@@ -699,3 +706,25 @@
             if order.kind is model.OrderKind.STAGE
         ]
     assert len(stages) == 2
+
+
+def _spares(count=4):
+    return [
+        hosted_fixtures.record(f"s{index}", staged=("large",))
+        for index in range(count)
+    ]
+
+
+def test_members_of_a_lead_that_left_are_not_free_before_they_have_left():
+    records = hosted_fixtures.replica_records()
+    fleet = _create_fleet(records + _spares(2))
+    planner = _create_planner()
+    planner.confirm_failed(model.ReplicaKey("r1", 1))
+    leave = planner.tick(fleet, {}, 0.0)[0]
+    planner.record_outcome(leave, model.OrderOutcome.ACCEPTED)
+    orders = planner.tick(fleet, {}, 0.1)
+    assert [(order.kind, order.engine.id) for order in orders] == [
+        (model.OrderKind.LEAVE, "r1-1"),
+        (model.OrderKind.LEAVE, "r1-2"),
+        (model.OrderKind.LEAVE, "r1-3"),
+    ]
