Order an engine to join only after it has said that it is in no replica

Cause: what an engine was taken for came from rows and from the planner's memory, and both can be older than the engine. An engine that cannot reach the store keeps the row that it had; when rows count again 2.5 s after the store is back, or after a new planner has taken the zone, that row replaced the engine's answers, and listed it as free while its new replica was open. And an engine that had left joined again by the first copy of an order that had been sent twice, and stayed released.

Before an engine is ordered to join, for the first time or again, it is asked now, and its answer has to be younger than 0.3 s and name no replica. An answer that names the replica that the engine was released from takes the release back. One that names another replica counts as an observation, so the view is right again. An engine that does not answer is silent, and others are chosen without waiting for its row to go.

--- a/tamarackpier/daemon/engine_poller.py
+++ b/tamarackpier/daemon/engine_poller.py
@@ -82,7 +82,7 @@
         report_result = await self.gateway.report(engine, _POLL_TIMEOUT_S)
         if pipeline.is_successful(report_result):
             self.metrics.count("observed", "answered")
-            self.fleet.observe(report_result.unwrap(), polled_at)
+            self.fleet.record_answer(report_result.unwrap(), polled_at, engine)
             return
         self.metrics.count("observed", "silent")
         if engine.membership is not None:
--- a/tamarackpier/fleet/fleet_view.py
+++ b/tamarackpier/fleet/fleet_view.py
@@ -8,16 +8,18 @@
 from tamarackpier.fleet import model
 from tamarackpier.routing import model as routing_model
 
-__all__ = ["FleetView", "Observation", "Suspension"]
+__all__ = ["Answer", "FleetView", "Observation", "Suspension"]
 
 # Time for which rows may be stale after the store is reachable again; by
 # requirement, they are back within 2 s.
 STORE_RETURN_GRACE_S = 2.5
 # Time for which an observation overrides a row; spans several probes.
 OBSERVATION_KEEP_S = 1.5
-# Maximum age of an observation for a decision about the engine, such as an
-# order to join.
+# Maximum age of an observation for a decision about the engine.
 OBSERVATION_FRESH_S = 0.8
+# Maximum age of an answer for an order to join. A probe takes 0.13 s at most,
+# and on a slow machine twice as long.
+ANSWER_FRESH_S = 0.3
 _MAX_SUSPENSIONS = 4096
 _MAX_GONE_ENGINES = 4096
 
@@ -59,6 +61,19 @@
     kept_until: float = -math.inf
 
 
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """What an engine last said of its place in a replica.
+
+    Attributes:
+        asked_at: Time of the question, in seconds on the monotonic clock.
+        membership: Place in its replica; None if it is in none.
+    """
+
+    asked_at: float
+    membership: model.Membership | None
+
+
 class FleetView:
     """Engines by their rows, and observations that override the rows.
 
@@ -79,6 +94,7 @@
         store_unreachable_for: Names of the components that cannot reach the
             store; while there is one, rows may be stale.
         observations: Observations by engine ID, made while rows may be stale.
+        answers: Latest answers of the engines to this instance, by ID.
         gone: Incarnation of each engine that was removed last, by ID.
         doubtful_rows: Rows in a restored store of engines that are gone, by ID;
             they take effect when rows are reliable again.
@@ -95,6 +111,7 @@
         self.rows_fresh_from = 0.0
         self.store_unreachable_for: set[str] = set()
         self.observations: dict[str, Observation] = {}
+        self.answers: dict[str, Answer] = {}
         self.gone: dict[str, int] = {}
         self.doubtful_rows: dict[str, model.EngineRecord] = {}
         self.restored_until = -math.inf
@@ -191,6 +208,52 @@
         )
         self._invalidate_caches()
 
+    def record_answer(
+        self,
+        report: model.EngineReport,
+        asked_at: float,
+        known: model.EngineRecord,
+    ) -> None:
+        """Records an engine's answer to a question of this instance.
+
+        The answer also counts as an observation, unless a row that may be
+        newer has come meanwhile.
+
+        Args:
+            report: The answer.
+            asked_at: Time of the question, in seconds on the monotonic clock.
+            known: The engine as it was known when it was asked.
+        """
+        engine = self.engines.get(report.id)
+        if engine is None or report.incarnation != engine.incarnation:
+            return
+        self.answers[report.id] = Answer(asked_at, report.membership)
+        if engine == known or self.may_be_stale(asked_at):
+            self.observe(report, asked_at)
+
+    def has_answered_free(
+        self, engine_id: str, since: float, now: float
+    ) -> bool:
+        """Returns whether an engine has just said that it is in no replica.
+
+        A row doesn't show that: an engine that can't reach the store has
+        written nothing since, and one that has left may have joined again by
+        an order that it carried out late.
+
+        Args:
+            engine_id: ID of the engine.
+            since: Time after which it must have been asked, in seconds on the
+                monotonic clock.
+            now: Current time, in seconds on the monotonic clock.
+        """
+        answer = self.answers.get(engine_id)
+        return (
+            answer is not None
+            and answer.membership is None
+            and answer.asked_at > since
+            and now - answer.asked_at < ANSWER_FRESH_S
+        )
+
     def engines_newer_than_rows(self) -> list[tuple[model.EngineRecord, float]]:
         """Returns engines whose observed state differs from their initial row.
 
@@ -213,6 +276,7 @@
         if engine is not None and record.incarnation > engine.incarnation:
             self.silent.pop(record.id, None)
             self.observations.pop(record.id, None)
+            self.answers.pop(record.id, None)
         self.pending_removals.pop(record.id, None)
         self.doubtful_rows.pop(record.id, None)
         self.gone.pop(record.id, None)
@@ -394,6 +458,7 @@
             if len(self.gone) > _MAX_GONE_ENGINES:
                 del self.gone[next(iter(self.gone))]
         self.observations.pop(engine_id, None)
+        self.answers.pop(engine_id, None)
         self.pending_removals.pop(engine_id, None)
         self.silent.pop(engine_id, None)
         self._invalidate_caches()
--- a/tamarackpier/fleet/formation.py
+++ b/tamarackpier/fleet/formation.py
@@ -23,6 +23,8 @@
         load_count: Number of members that have to load weights.
         joined: IDs of the members that have accepted their order to join.
         sent_orders: Orders sent for this formation.
+        unconfirmed: IDs of the members that have to say that they are in no
+            replica before their order to join is sent again.
     """
 
     key: model.ReplicaKey
@@ -36,6 +38,7 @@
     sent_orders: sent_orders_lib.SentOrders = dataclasses.field(
         default_factory=sent_orders_lib.SentOrders
     )
+    unconfirmed: set[str] = dataclasses.field(default_factory=set)
 
     def is_open(self, fleet: fleet_view.FleetView) -> bool:
         """Returns whether the lead is known to accept requests."""
@@ -53,6 +56,7 @@
             The orders; None if the formation has failed, because a member is
             no longer available or `timeout_s` has passed.
         """
+        self.unconfirmed.clear()
         engines = self._available_members(fleet)
         if engines is None or now - self.started_at > self.timeout_s:
             return None
@@ -75,9 +79,25 @@
                     self.spec.name,
                     self.members,
                 )
-                orders += self.sent_orders.take_if_due(order, now)
+                orders += self._take_join_if_due(order, fleet, now)
         return orders
 
+    def _take_join_if_due(
+        self, order: model.Order, fleet: fleet_view.FleetView, now: float
+    ) -> list[model.Order]:
+        """Returns an order to join if it is due.
+
+        The engine may have joined another replica since an earlier order to
+        join, which was not answered.
+        """
+        engine_id = order.engine.id
+        sent_at = self.sent_orders.last_sent_at(engine_id, order.kind)
+        if sent_at is None or fleet.has_answered_free(engine_id, sent_at, now):
+            return self.sent_orders.take_if_due(order, now)
+        if self.sent_orders.is_due(order, now):
+            self.unconfirmed.add(engine_id)
+        return []
+
     def _available_members(
         self, fleet: fleet_view.FleetView
     ) -> list[model.EngineRecord] | None:
--- a/tamarackpier/fleet/retirement.py
+++ b/tamarackpier/fleet/retirement.py
@@ -159,6 +159,15 @@
         if lead is not None and lead.id == order.engine.id:
             retirement.has_lead_left = True
 
+    def take_back(self, engine_id: str, key: model.ReplicaKey) -> None:
+        """Takes back the release of an engine that is in its replica again.
+
+        An order to join that was carried out late has this effect.
+        """
+        if self.released.get(engine_id) == key:
+            del self.released[engine_id]
+            self.confirmed_failed.add(key)
+
     def _decide(
         self,
         replica: model.Replica,
--- a/tamarackpier/fleet/sent_orders.py
+++ b/tamarackpier/fleet/sent_orders.py
@@ -31,9 +31,18 @@
             A list of the order; empty if the engine was sent an order of this
             kind less than `RESEND_INTERVAL_S` ago.
         """
-        engine_and_kind = (order.engine.id, order.kind)
-        last_sent_at = self.sent_at.get(engine_and_kind)
-        if last_sent_at is not None and now - last_sent_at < RESEND_INTERVAL_S:
+        if not self.is_due(order, now):
             return []
-        self.sent_at[engine_and_kind] = now
+        self.sent_at[order.engine.id, order.kind] = now
         return [order]
+
+    def is_due(self, order: model.Order, now: float) -> bool:
+        """Returns whether an order may be sent, for the first time or again."""
+        last_sent_at = self.last_sent_at(order.engine.id, order.kind)
+        return last_sent_at is None or now - last_sent_at >= RESEND_INTERVAL_S
+
+    def last_sent_at(
+        self, engine_id: str, kind: model.OrderKind
+    ) -> float | None:
+        """Returns the time of the last order of a kind to an engine."""
+        return self.sent_at.get((engine_id, kind))
--- a/tamarackpier/fleet/zone_planner.py
+++ b/tamarackpier/fleet/zone_planner.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import math
 from collections.abc import Mapping
 
 from tamarackpier.fleet import demand, fleet_view, model, retirement, staging
@@ -40,6 +41,8 @@
         formations: Replicas that are being formed, by key.
         retirements: Replicas that are being retired, and released members.
         staging: Weight loads of free engines.
+        unconfirmed: IDs of the engines that would be ordered to join if they
+            said that they are in no replica.
         demand: Estimate of the replicas that the load needs.
     """
 
@@ -61,9 +64,12 @@
         self.formations: dict[model.ReplicaKey, formation_lib.Formation] = {}
         self.retirements = retirement.Retirements(spec)
         self.staging = staging.Staging(spec, max(1, planner_count), now)
+        self.unconfirmed: set[str] = set()
         self.demand = demand.Demand(spec, now)
         self._replicas: Mapping[model.ReplicaKey, model.Replica] = {}
         self._free: Mapping[str, list[model.EngineRecord]] = {}
+        # Whether unconfirmed engines would load weights when they join.
+        self._awaits_loads = False
 
     def reconfigure(
         self, spec: routing_model.EngineSpec, planner_count: int
@@ -92,6 +98,8 @@
         self.staging.refill(now)
         replicas = self._zone_replicas(fleet)
         self._replicas = replicas
+        self.unconfirmed = set()
+        self._awaits_loads = False
         self.retirements.prune(replicas)
         for replica in replicas.values():
             self._review(replica, fleet, now)
@@ -103,7 +111,7 @@
         for domain in sorted(free):
             orders += self._form_replicas(free[domain], fleet, now)
         self.staging.prune(fleet, now)
-        if not self._is_any_formation_loading():
+        if not (self._awaits_loads or self._is_any_formation_loading()):
             orders += self.staging.orders(
                 free,
                 self._engines_in_replicas(replicas, fleet),
@@ -132,6 +140,12 @@
         elif outcome in _REFUSAL_OUTCOMES:
             self._abort(formation)
 
+    def record_answer(self, report: model.EngineReport) -> None:
+        """Records that an engine was asked, and has answered."""
+        membership = report.membership
+        if membership is not None and membership.key not in self.formations:
+            self.retirements.take_back(report.id, membership.key)
+
     def confirm_failed(self, key: model.ReplicaKey) -> None:
         """Records that the failure of a replica has been confirmed."""
         self.retirements.confirmed_failed.add(key)
@@ -266,6 +280,7 @@
         if orders is None:
             self._abort(formation)
             return []
+        self.unconfirmed |= formation.unconfirmed
         return orders
 
     def _abort(self, formation: formation_lib.Formation) -> None:
@@ -304,6 +319,8 @@
     ) -> list[model.Order]:
         """Starts formations from the free engines of a domain.
 
+        The chosen engines are asked first whether they are free.
+
         Args:
             free: Free engines of the domain; those chosen are removed.
             fleet: View of the engines.
@@ -318,9 +335,19 @@
             if choice is None:
                 return orders
             spec, engines, load_count = choice
-            formation = self._start_formation(spec, engines, load_count, now)
             for engine in engines:
                 free.remove(engine)
+            unconfirmed_ids = {
+                engine.id
+                for engine in engines
+                if not fleet.has_answered_free(engine.id, -math.inf, now)
+            }
+            if unconfirmed_ids:
+                self.unconfirmed |= unconfirmed_ids
+                self._awaits_loads |= load_count > 0
+                return orders
+            formation = self._start_formation(spec, engines, load_count, now)
+            for engine in engines:
                 self.staging.loading.pop(engine.id, None)
             orders += self._advance(formation, fleet, now)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -62,6 +62,15 @@
     )
 
 
+def _answer(fleet, planner, now):
+    """Has the engines that the planner asks say that they are in no replica."""
+    for engine_id in planner.unconfirmed:
+        known = fleet.engines[engine_id]
+        report = _create_report(known, membership=None)
+        fleet.record_answer(report, now, known)
+        planner.record_answer(report)
+
+
 class _Zone:
     """A planner with stand-in engines, crashes and delayed orders.
 
@@ -112,10 +121,28 @@
             self._read_rows()
             self._observe()
             self._detect()
-            orders = self.planner.tick(self.fleet, self.running, self.now)
-            self.order_count += len(orders)
-            for order in orders:
-                self.planner.record_outcome(order, self._send(order))
+            self._plan()
+            if self._ask():
+                self._plan()
+
+    def _plan(self):
+        orders = self.planner.tick(self.fleet, self.running, self.now)
+        self.order_count += len(orders)
+        for order in orders:
+            self.planner.record_outcome(order, self._send(order))
+
+    def _ask(self):
+        """Asks the engines that the planner wants to join; returns whether."""
+        asked_ids = sorted(self.planner.unconfirmed)
+        for engine_id in asked_ids:
+            if self.fabric.is_reachable(engine_id):
+                report = _create_report(self.fabric.engines[engine_id].record)
+                known = self.fleet.engines[engine_id]
+                self.fleet.record_answer(report, self.now, known)
+                self.planner.record_answer(report)
+            else:
+                self.fleet.silent.setdefault(engine_id, self.now)
+        return bool(asked_ids)
 
     def replace_planner(self):
         """Replaces the planner with one of another instance, without state."""
@@ -342,6 +369,8 @@
     orders = planner.tick(fleet, {}, 4.0)
     assert all(order.kind is model.OrderKind.LEAVE for order in orders)
     planner.record_outcome(leaves[0], model.OrderOutcome.ACCEPTED)
+    planner.tick(fleet, {}, 4.4)
+    _answer(fleet, planner, 4.4)
     orders = planner.tick(fleet, {}, 4.5)
     joins = [order for order in orders if order.kind is model.OrderKind.JOIN]
     assert {order.engine.id for order in joins} == {
@@ -494,10 +523,10 @@
     fleet.mark_store_unreachable("rows")
     planner = _create_planner()
     for record in records[1:]:
-        fleet.observe(_create_report(record), 0.0)
+        fleet.record_answer(_create_report(record), 0.0, record)
     orders = planner.tick(fleet, {}, 0.1)
     assert model.OrderKind.JOIN not in {order.kind for order in orders}
-    fleet.observe(_create_report(records[0]), 0.1)
+    fleet.record_answer(_create_report(records[0]), 0.1, records[0])
     orders = planner.tick(fleet, {}, 0.2)
     joins = [order for order in orders if order.kind is model.OrderKind.JOIN]
     assert len(joins) == 4
@@ -715,6 +744,73 @@
     ]
 
 
+def test_engine_whose_row_is_older_than_its_answer_does_not_join():
+    spares = _spares()
+    fleet = _create_fleet(spares)
+    planner = _create_planner()
+    assert planner.tick(fleet, {}, 1.0) == []
+    assert planner.unconfirmed == {"s0", "s1", "s2", "s3"}
+    _answer(fleet, planner, 1.0)
+    membership = model.Membership(
+        model.ReplicaKey("r1", 1), 1, model.MemberState.READY
+    )
+    report = _create_report(spares[0], membership=membership)
+    fleet.record_answer(report, 1.0, spares[0])
+    orders = planner.tick(fleet, {}, 1.1)
+    assert model.OrderKind.JOIN not in {order.kind for order in orders}
+    assert fleet.engines["s0"].membership == membership
+
+
+def test_old_answer_does_not_let_an_engine_join():
+    fleet = _create_fleet(_spares())
+    planner = _create_planner()
+    planner.tick(fleet, {}, 1.0)
+    _answer(fleet, planner, 1.0)
+    assert planner.tick(fleet, {}, 1.5) == []
+    assert planner.unconfirmed == {"s0", "s1", "s2", "s3"}
+
+
+def test_order_to_join_is_sent_again_only_to_an_engine_that_is_still_free():
+    spares = _spares()
+    fleet = _create_fleet(spares)
+    planner = _create_planner()
+    planner.tick(fleet, {}, 1.0)
+    _answer(fleet, planner, 1.0)
+    assert len(planner.tick(fleet, {}, 1.1)) == 4
+    assert planner.tick(fleet, {}, 1.6) == []
+    assert planner.unconfirmed == {"s0", "s1", "s2", "s3"}
+    _answer(fleet, planner, 1.6)
+    joined = model.Membership(
+        model.ReplicaKey("r1", 1), 1, model.MemberState.READY
+    )
+    report = _create_report(spares[0], membership=joined)
+    fleet.record_answer(report, 1.6, spares[0])
+    orders = planner.tick(fleet, {}, 1.7)
+    assert {(order.kind, order.engine.id) for order in orders} == {
+        (model.OrderKind.JOIN, "s1"),
+        (model.OrderKind.JOIN, "s2"),
+        (model.OrderKind.JOIN, "s3"),
+    }
+
+
+def test_released_engine_that_joined_again_has_to_leave_again():
+    records = hosted_fixtures.replica_records()
+    key = model.ReplicaKey("r1", 1)
+    fleet = _create_fleet(records)
+    planner = _create_planner()
+    planner.confirm_failed(key)
+    fleet.silent["r1-0"] = 0.0
+    for order in planner.tick(fleet, {}, 0.0):
+        planner.record_outcome(order, model.OrderOutcome.ACCEPTED)
+    assert planner.tick(fleet, {}, 0.1) == []
+    fleet.record_answer(_create_report(records[1]), 0.2, records[1])
+    planner.record_answer(_create_report(records[1]))
+    orders = planner.tick(fleet, {}, 0.5)
+    assert [(order.kind, order.engine.id) for order in orders] == [
+        (model.OrderKind.LEAVE, "r1-1")
+    ]
+
+
 def test_members_of_a_lead_that_left_are_not_free_before_they_have_left():
     records = hosted_fixtures.replica_records()
     fleet = _create_fleet(records + _spares(2))
