Test that a whole deployment joins no engine that its store lists wrongly

A spare that cannot reach the store joins a replica of its own; the store has its row from before. When a replica loses a member, the spare is asked, leaves, and is joined then. Fails on: the stand-in reports that the spare is joined while its replica is open.

--- a/tests/test_hosted_whole.py
+++ b/tests/test_hosted_whole.py
@@ -4,6 +4,7 @@
 import time
 
 from tamarackpier import codes, failures
+from tamarackpier.fleet import model
 from tamarackpier.platform import edge
 from tests import deployment_fixtures, hosted_fixtures
 
@@ -368,3 +369,58 @@
         assert 0 < spent <= bounds.retry_extra / instance.relay.instances
 
     deployment_fixtures.run(check, count=1)
+
+
+def test_engine_that_joined_a_replica_unseen_by_the_store_is_not_joined():
+    async def check(deployment):
+        await deployment.until(lambda: all(deployment.serving()))
+        fabric = deployment.platform.fabric
+        replica = deployment.instances[0].fleet.serving("drafts", "large")[0]
+        (spare,) = (
+            engine
+            for engine in fabric.engines.values()
+            if engine.record.service == "drafts" and engine.membership is None
+        )
+        await deployment.until(lambda: spare.record.staged == ("large",))
+        # Before, engines are polled, as their rows may be stale.
+        await deployment.until(
+            lambda: (
+                not any(
+                    instance.fleet.may_be_stale(time.monotonic())
+                    for instance in deployment.instances
+                )
+            )
+        )
+        fabric.cut_from_store(spare.record.id)
+        key = model.ReplicaKey("elsewhere", 1)
+        join = model.Order(
+            model.OrderKind.JOIN,
+            spare.record,
+            "",
+            key,
+            "large",
+            (spare.record.id,),
+        )
+        fabric.order(join)
+        await deployment.until(
+            lambda: spare.membership.state is model.MemberState.READY
+        )
+        fabric.order(model.Order(model.OrderKind.OPEN, spare.record, "", key))
+        await deployment.until(
+            lambda: spare.membership.state is model.MemberState.OPEN
+        )
+        fabric.kill(replica.members[1][1].id)
+        for instance in deployment.instances:
+            await instance.prober.probe(replica.key, "test")
+        await deployment.until(
+            lambda: (
+                deployment.platform.breaches
+                or (
+                    spare.membership is not None
+                    and spare.membership.key not in (key, replica.key)
+                )
+            )
+        )
+        assert deployment.platform.breaches == []
+
+    deployment_fixtures.run(check, engine_count=5)
