--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -26,6 +26,13 @@
         routing_model.ModelSpec("small", 4, 0.5, 0.6, 12.0, 1.1),
     ),
 )
+MEDIUM_SPEC = dataclasses.replace(
+    hosted_fixtures.SPEC,
+    models=(
+        routing_model.ModelSpec("large", 8, 0.5, 1.0, 16.0, 1.6),
+        routing_model.ModelSpec("small", 2, 0.5, 0.6, 12.0, 1.1),
+    ),
+)
 WIDE_DOMAIN = 19  # Number of engines.
 
 
@@ -447,20 +454,24 @@
         assert zone.fabric.serving("large") + zone.fabric.serving("small") >= 1
 
 
-def _run_wide_zone(seed, delayed_share, act):
-    """Runs a zone of wide replicas in which engines crash all the time.
+def _run_wide_zone(seed, delayed_share, act, spec=WIDE_SPEC):
+    """Runs a zone of one large domain in which engines crash all the time.
 
-    The fabric raises an error at wrong orders.
+    The fabric raises an error at wrong orders. With wide replicas the small
+    model holds the domain, since crashes leave too few engines for the other.
 
     Args:
         seed: Seed of the random draws.
         delayed_share: Share of the orders that arrive late, in about every
             other step.
         act: Called with the zone in each step, to disturb it further.
+        spec: Capacity and timing of the engines.
     """
-    zone = _Zone(seed, 1, WIDE_DOMAIN, 0.0, WIDE_SPEC, ROW_LAG_S)
-    zone.running = {"large": 20, "small": 20}
+    zone = _Zone(seed, 1, WIDE_DOMAIN, 0.0, spec, ROW_LAG_S)
+    if spec is WIDE_SPEC:
+        zone.running = {"large": 20, "small": 20}
     zone.run(40)
+    zone.running = {"large": 20, "small": 20}
     for step in range(10):
         zone.delayed_share = zone.rng.choice((0.0, delayed_share))
         kill_count = zone.rng.choice((1, 2, 3))
@@ -504,6 +515,27 @@
         _run_wide_zone(seed, 0.0, act)
 
 
+def test_no_engine_of_a_replica_of_both_models_joins_twice():
+    """Guards against both at once, where both models have open replicas."""
+    large_count = 0
+
+    def act(zone):
+        nonlocal large_count
+        large_count += zone.fabric.serving("large")
+        if zone.rng.random() < 0.4:
+            zone.cut_from_store(3)
+        if zone.rng.random() < 0.3:
+            zone.hand_over()
+        if zone.rng.random() < 0.3:
+            zone.cut()
+        if zone.rng.random() < 0.3:
+            zone.disconnect_store()
+
+    for seed in range(60):
+        _run_wide_zone(seed, 0.3, act, MEDIUM_SPEC)
+    assert large_count > 0
+
+
 def test_replica_is_replaced_while_the_store_is_unreachable():
     zone = _Zone(2, domains=1)
     zone.run(60)
