--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,9 +1,11 @@
 """Tests the fleet view and the planner of an availability zone."""
 
+import collections
 import dataclasses
 import random
 
 from tamarackpier.fleet import fleet_view, model, zone_planner
+from tamarackpier.routing import model as routing_model
 from tamarackpier.standin import fabric as fabric_lib
 from tests import hosted_fixtures
 
@@ -13,11 +15,30 @@
 # Time from the return of the store until its rows are up to date.
 ROWS_RETURN_S = 2.0
 OBSERVED_SHARE = 0.3  # Share of the engines that are probed in each tick.
-
-
-def _create_fleet(records):
+# Ticks after which the age of the rows that are read changes, on average.
+ROW_LAG_TICKS = 10
+ROW_LAG_S = 0.8  # Maximum age of rows that count as up to date.
+# Replicas of many engines, of which a domain holds one and a few spares.
+WIDE_SPEC = dataclasses.replace(
+    hosted_fixtures.SPEC,
+    models=(
+        routing_model.ModelSpec("large", 16, 0.5, 1.0, 16.0, 1.6),
+        routing_model.ModelSpec("small", 4, 0.5, 0.6, 12.0, 1.1),
+    ),
+)
+MEDIUM_SPEC = dataclasses.replace(
+    hosted_fixtures.SPEC,
+    models=(
+        routing_model.ModelSpec("large", 8, 0.5, 1.0, 16.0, 1.6),
+        routing_model.ModelSpec("small", 2, 0.5, 0.6, 12.0, 1.1),
+    ),
+)
+WIDE_DOMAIN = 19  # Number of engines.
+
+
+def _create_fleet(records, spec=hosted_fixtures.SPEC):
     fleet = fleet_view.FleetView()
-    fleet.set_services(hosted_fixtures.services())
+    fleet.set_services({"drafts": routing_model.ServiceSpec("drafts", spec)})
     fleet.replace(records, 0.0)
     return fleet
 
@@ -48,6 +69,15 @@
     )
 
 
+def _answer(fleet, planner, now):
+    """Has the engines that the planner asks say that they are in no replica."""
+    for engine_id in planner.unconfirmed:
+        known = fleet.engines[engine_id]
+        report = _create_report(known, membership=None)
+        fleet.record_answer(report, now, known)
+        planner.record_answer(report)
+
+
 class _Zone:
     """A planner with stand-in engines, crashes and delayed orders.
 
@@ -60,6 +90,7 @@
         stale_rows: Rows as of the loss of the store; None if rows are read
             from the fabric.
         rows_fresh_at: Time from which rows are read from the fabric again.
+        max_row_lag_s: Maximum age of the rows that are read, in seconds.
     """
 
     def __init__(
@@ -69,13 +100,14 @@
         engines=9,
         delayed_share=0.0,
         spec=hosted_fixtures.SPEC,
+        max_row_lag_s=0.0,
     ):
         self.rng = random.Random(seed)
         self.delayed_share = delayed_share
         self.spec = spec
         self.running = {}
         self.fabric = fabric_lib.create_fabric(spec, domains, engines, self.rng)
-        self.fleet = _create_fleet([])
+        self.fleet = _create_fleet([], spec)
         self.planner = _create_planner(spec=spec)
         self.now = 0.0
         self.failed_at = {}
@@ -83,6 +115,9 @@
         self.order_count = 0
         self.stale_rows = None
         self.rows_fresh_at = 0.0
+        self.max_row_lag_s = max_row_lag_s
+        self._row_lag_s = 0.0
+        self._unread_rows = collections.deque()
 
     def run(self, duration_s):
         ends_at = self.now + duration_s
@@ -93,16 +128,39 @@
             self._read_rows()
             self._observe()
             self._detect()
-            orders = self.planner.tick(self.fleet, self.running, self.now)
-            self.order_count += len(orders)
-            for order in orders:
-                self.planner.record_outcome(order, self._send(order))
+            self._plan()
+            if self._ask():
+                self._plan()
+
+    def _plan(self):
+        orders = self.planner.tick(self.fleet, self.running, self.now)
+        self.order_count += len(orders)
+        for order in orders:
+            self.planner.record_outcome(order, self._send(order))
+
+    def _ask(self):
+        """Asks the engines that the planner wants to join; returns whether."""
+        asked_ids = sorted(self.planner.unconfirmed)
+        for engine_id in asked_ids:
+            if self.fabric.is_reachable(engine_id):
+                report = _create_report(self.fabric.engines[engine_id].record)
+                known = self.fleet.engines[engine_id]
+                self.fleet.record_answer(report, self.now, known)
+                self.planner.record_answer(report)
+            else:
+                self.fleet.silent.setdefault(engine_id, self.now)
+        return bool(asked_ids)
 
     def replace_planner(self):
         """Replaces the planner with one of another instance, without state."""
         self.planner_count += 1
         self.planner = _create_planner(self.now, self.planner_count, self.spec)
 
+    def hand_over(self):
+        """Has another instance take the zone, which distrusts the rows."""
+        self.replace_planner()
+        self.fleet.mark_rows_stale(self.now)
+
     def disconnect_store(self):
         """Makes the store unreachable; rows stay as they are meanwhile."""
         self.stale_rows = self.fabric.rows()
@@ -117,7 +175,7 @@
     def replace_instance(self):
         """Replaces the instance with one that has read only stale rows."""
         self.replace_planner()
-        self.fleet = _create_fleet([])
+        self.fleet = _create_fleet([], self.spec)
         self.fleet.mark_rows_stale(self.now)
         if self.rows_fresh_at == float("inf"):
             self.fleet.mark_store_unreachable("rows")
@@ -126,10 +184,23 @@
         if self.now >= self.rows_fresh_at:
             self.stale_rows = None
         if self.stale_rows is None:
-            self.fleet.replace(self.fabric.rows(), self.now)
+            self._read_delayed_rows()
         elif not self.fleet.engines:
             self.fleet.replace(self.stale_rows, self.now)
 
+    def _read_delayed_rows(self):
+        if self.rng.random() < 1 / ROW_LAG_TICKS:
+            self._row_lag_s = self.rng.uniform(0, self.max_row_lag_s)
+        self._unread_rows.append((self.now, self.fabric.rows()))
+        rows = None
+        while (
+            self._unread_rows
+            and self._unread_rows[0][0] <= self.now - self._row_lag_s
+        ):
+            rows = self._unread_rows.popleft()[1]
+        if rows is not None:
+            self.fleet.replace(rows, self.now)
+
     def _observe(self):
         if not self.fleet.may_be_stale(self.now):
             return
@@ -165,6 +236,16 @@
             self.fabric.cut(name)
             self.failed_at[name] = self.now
 
+    def cut_from_store(self, count):
+        """Disconnects random engines from the store only."""
+        alive = [
+            name
+            for name, engine in self.fabric.engines.items()
+            if engine.is_alive
+        ]
+        for name in self.rng.sample(alive, min(count, len(alive))):
+            self.fabric.cut_from_store(name)
+
     def heal(self):
         """Reconnects all engines that were cut off."""
         for name, engine in self.fabric.engines.items():
@@ -264,7 +345,14 @@
     planner.record_outcome(orders[0], model.OrderOutcome.UNKNOWN)
     assert planner.tick(fleet, {}, 0.3) == []
     planner.record_outcome(orders[0], model.OrderOutcome.ACCEPTED)
-    planner.tick(fleet, {}, 0.5)
+    leaves = planner.tick(fleet, {}, 0.5)
+    assert [(order.kind, order.engine.id) for order in leaves] == [
+        (model.OrderKind.LEAVE, "r1-1"),
+        (model.OrderKind.LEAVE, "r1-3"),
+    ]
+    for order in leaves:
+        planner.record_outcome(order, model.OrderOutcome.ACCEPTED)
+    planner.tick(fleet, {}, 0.6)
     assert model.ReplicaKey("r1", 1) not in planner.retirements.active
 
 
@@ -288,6 +376,8 @@
     orders = planner.tick(fleet, {}, 4.0)
     assert all(order.kind is model.OrderKind.LEAVE for order in orders)
     planner.record_outcome(leaves[0], model.OrderOutcome.ACCEPTED)
+    planner.tick(fleet, {}, 4.4)
+    _answer(fleet, planner, 4.4)
     orders = planner.tick(fleet, {}, 4.5)
     joins = [order for order in orders if order.kind is model.OrderKind.JOIN]
     assert {order.engine.id for order in joins} == {
@@ -364,6 +454,88 @@
         assert zone.fabric.serving("large") + zone.fabric.serving("small") >= 1
 
 
+def _run_wide_zone(seed, delayed_share, act, spec=WIDE_SPEC):
+    """Runs a zone of one large domain in which engines crash all the time.
+
+    The fabric raises an error at wrong orders. With wide replicas the small
+    model holds the domain, since crashes leave too few engines for the other.
+
+    Args:
+        seed: Seed of the random draws.
+        delayed_share: Share of the orders that arrive late, in about every
+            other step.
+        act: Called with the zone in each step, to disturb it further.
+        spec: Capacity and timing of the engines.
+    """
+    zone = _Zone(seed, 1, WIDE_DOMAIN, 0.0, spec, ROW_LAG_S)
+    if spec is WIDE_SPEC:
+        zone.running = {"large": 20, "small": 20}
+    zone.run(40)
+    zone.running = {"large": 20, "small": 20}
+    for step in range(10):
+        zone.delayed_share = zone.rng.choice((0.0, delayed_share))
+        kill_count = zone.rng.choice((1, 2, 3))
+        zone.kill(kill_count)
+        act(zone)
+        zone.run(zone.rng.uniform(0.3, 5.0))
+        if zone.stale_rows is not None and zone.rows_fresh_at > zone.now:
+            zone.reconnect_store()
+        if zone.rng.random() < 0.6:
+            zone.heal()
+        for index in range(kill_count):
+            zone.fabric.add(f"n{step}-{index}", "drafts", "zone-a", "d0")
+        zone.run(zone.rng.uniform(0.3, 6.0))
+
+
+def test_no_engine_joins_twice_by_an_order_that_was_sent_again():
+    """Guards against the release of engines that join again by late orders."""
+
+    def act(zone):
+        if zone.rng.random() < 0.3:
+            zone.hand_over()
+        if zone.rng.random() < 0.3:
+            zone.cut()
+
+    for seed in range(40):
+        _run_wide_zone(seed, 0.3, act)
+
+
+def test_no_engine_joins_twice_while_it_cannot_reach_the_store():
+    """Guards against rows that the store still has of engines cut from it."""
+
+    def act(zone):
+        if zone.rng.random() < 0.4:
+            zone.cut_from_store(3)
+        if zone.rng.random() < 0.3:
+            zone.hand_over()
+        if zone.rng.random() < 0.3:
+            zone.disconnect_store()
+
+    for seed in range(40):
+        _run_wide_zone(seed, 0.0, act)
+
+
+def test_no_engine_of_a_replica_of_both_models_joins_twice():
+    """Guards against both at once, where both models have open replicas."""
+    large_count = 0
+
+    def act(zone):
+        nonlocal large_count
+        large_count += zone.fabric.serving("large")
+        if zone.rng.random() < 0.4:
+            zone.cut_from_store(3)
+        if zone.rng.random() < 0.3:
+            zone.hand_over()
+        if zone.rng.random() < 0.3:
+            zone.cut()
+        if zone.rng.random() < 0.3:
+            zone.disconnect_store()
+
+    for seed in range(60):
+        _run_wide_zone(seed, 0.3, act, MEDIUM_SPEC)
+    assert large_count > 0
+
+
 def test_replica_is_replaced_while_the_store_is_unreachable():
     zone = _Zone(2, domains=1)
     zone.run(60)
@@ -383,10 +555,10 @@
     fleet.mark_store_unreachable("rows")
     planner = _create_planner()
     for record in records[1:]:
-        fleet.observe(_create_report(record), 0.0)
+        fleet.record_answer(_create_report(record), 0.0, record)
     orders = planner.tick(fleet, {}, 0.1)
     assert model.OrderKind.JOIN not in {order.kind for order in orders}
-    fleet.observe(_create_report(records[0]), 0.1)
+    fleet.record_answer(_create_report(records[0]), 0.1, records[0])
     orders = planner.tick(fleet, {}, 0.2)
     joins = [order for order in orders if order.kind is model.OrderKind.JOIN]
     assert len(joins) == 4
@@ -595,3 +767,92 @@
             if order.kind is model.OrderKind.STAGE
         ]
     assert len(stages) == 2
+
+
+def _spares(count=4):
+    return [
+        hosted_fixtures.record(f"s{index}", staged=("large",))
+        for index in range(count)
+    ]
+
+
+def test_engine_whose_row_is_older_than_its_answer_does_not_join():
+    spares = _spares()
+    fleet = _create_fleet(spares)
+    planner = _create_planner()
+    assert planner.tick(fleet, {}, 1.0) == []
+    assert planner.unconfirmed == {"s0", "s1", "s2", "s3"}
+    _answer(fleet, planner, 1.0)
+    membership = model.Membership(
+        model.ReplicaKey("r1", 1), 1, model.MemberState.READY
+    )
+    report = _create_report(spares[0], membership=membership)
+    fleet.record_answer(report, 1.0, spares[0])
+    orders = planner.tick(fleet, {}, 1.1)
+    assert model.OrderKind.JOIN not in {order.kind for order in orders}
+    assert fleet.engines["s0"].membership == membership
+
+
+def test_old_answer_does_not_let_an_engine_join():
+    fleet = _create_fleet(_spares())
+    planner = _create_planner()
+    planner.tick(fleet, {}, 1.0)
+    _answer(fleet, planner, 1.0)
+    assert planner.tick(fleet, {}, 1.5) == []
+    assert planner.unconfirmed == {"s0", "s1", "s2", "s3"}
+
+
+def test_order_to_join_is_sent_again_only_to_an_engine_that_is_still_free():
+    spares = _spares()
+    fleet = _create_fleet(spares)
+    planner = _create_planner()
+    planner.tick(fleet, {}, 1.0)
+    _answer(fleet, planner, 1.0)
+    assert len(planner.tick(fleet, {}, 1.1)) == 4
+    assert planner.tick(fleet, {}, 1.6) == []
+    assert planner.unconfirmed == {"s0", "s1", "s2", "s3"}
+    _answer(fleet, planner, 1.6)
+    joined = model.Membership(
+        model.ReplicaKey("r1", 1), 1, model.MemberState.READY
+    )
+    report = _create_report(spares[0], membership=joined)
+    fleet.record_answer(report, 1.6, spares[0])
+    orders = planner.tick(fleet, {}, 1.7)
+    assert {(order.kind, order.engine.id) for order in orders} == {
+        (model.OrderKind.JOIN, "s1"),
+        (model.OrderKind.JOIN, "s2"),
+        (model.OrderKind.JOIN, "s3"),
+    }
+
+
+def test_released_engine_that_joined_again_has_to_leave_again():
+    records = hosted_fixtures.replica_records()
+    key = model.ReplicaKey("r1", 1)
+    fleet = _create_fleet(records)
+    planner = _create_planner()
+    planner.confirm_failed(key)
+    fleet.silent["r1-0"] = 0.0
+    for order in planner.tick(fleet, {}, 0.0):
+        planner.record_outcome(order, model.OrderOutcome.ACCEPTED)
+    assert planner.tick(fleet, {}, 0.1) == []
+    fleet.record_answer(_create_report(records[1]), 0.2, records[1])
+    planner.record_answer(_create_report(records[1]))
+    orders = planner.tick(fleet, {}, 0.5)
+    assert [(order.kind, order.engine.id) for order in orders] == [
+        (model.OrderKind.LEAVE, "r1-1")
+    ]
+
+
+def test_members_of_a_lead_that_left_are_not_free_before_they_have_left():
+    records = hosted_fixtures.replica_records()
+    fleet = _create_fleet(records + _spares(2))
+    planner = _create_planner()
+    planner.confirm_failed(model.ReplicaKey("r1", 1))
+    leave = planner.tick(fleet, {}, 0.0)[0]
+    planner.record_outcome(leave, model.OrderOutcome.ACCEPTED)
+    orders = planner.tick(fleet, {}, 0.1)
+    assert [(order.kind, order.engine.id) for order in orders] == [
+        (model.OrderKind.LEAVE, "r1-1"),
+        (model.OrderKind.LEAVE, "r1-2"),
+        (model.OrderKind.LEAVE, "r1-3"),
+    ]
