An invalid answer of an engine that then ends makes the request a suspect

The attempt failed as an invalid answer, and the crash watch recorded only broken connections and cancelled attempts.

Attempts with an invalid answer are now recorded as well. If the engine answers the probe that follows, nothing comes of it; an engine that is silent for a moment and goes on incriminates no request, as before.

The stand-in's silent engine now sends nothing; a second test keeps the error page. No bound has changed.

--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -320,6 +320,11 @@
         self.platform.ran[request_id].append(self.name)
         if crash_after == 0:
             self.platform.crash(self.name, request_id)
+            if (
+                self.platform.crashes_silently
+                and not self.platform.sends_error_pages
+            ):
+                await asyncio.sleep(3600)
             return
         if not serves_models:
             await asyncio.sleep(
@@ -393,6 +398,9 @@
             ID after its restart, at the same address.
         crashes_silently: Whether an engine that a request crashed answers
             nothing, instead of closing its port and connections.
+        sends_error_pages: Whether the HTTP server of an engine that a request
+            crashed silently answers this request with an error page, which
+            carries no request ID.
         crashing_bodies: Number of events after which an engine crashes that
             runs a request with this body, by body; 0 for before its answer.
         crashing_parts: The same by ID of a part of the prompt.
@@ -421,6 +429,7 @@
         self.plain_answer_s = 0.0
         self.renames_engines = False
         self.crashes_silently = False
+        self.sends_error_pages = False
         self.crashing_bodies: dict[bytes, int] = {}
         self.crashing_parts: dict[str, int] = {}
         self.crashes: list[tuple[float, str]] = []
--- a/tamarackpier/traffic/attempt.py
+++ b/tamarackpier/traffic/attempt.py
@@ -11,6 +11,7 @@
 from tamarackpier.upstream import gateway
 
 __all__ = [
+    "BAD_ANSWER",
     "LIMITED",
     "CompleteAnswer",
     "WatchedAttempt",
@@ -24,8 +25,11 @@
 # Reason of a failure in which an engine with a limit ran nothing; it isn't
 # faulty.
 LIMITED = "limited"
-# Reasons of failures in which the connection to the engine broke.
-_BROKEN_REASONS = ("no_answer", "cut_off")
+# Reason of a failure in which something else than a valid answer arrived.
+BAD_ANSWER = "bad_answer"
+# Reasons of failures after which the engine may have ended. One that crashes
+# may still send an error page.
+_BROKEN_REASONS = ("no_answer", "cut_off", BAD_ANSWER)
 # Statuses with which engines refuse a request that they do not run.
 _REFUSAL_STATUSES = (400, 421, 429, 503)
 # Statuses that promise callers that the request did not run and never will.
@@ -170,7 +174,7 @@
     problem = _check_answer(answer)
     if problem:
         answer.close()
-        raise _failed_attempt_error(run, "bad_answer", problem, False)
+        raise _failed_attempt_error(run, BAD_ANSWER, problem, False)
     if answer.is_not_run:
         answer.close()
         detail = f"the engine did not run the request: HTTP {answer.status}"
@@ -238,7 +242,7 @@
             size += len(data)
             if size > _MAX_ANSWER_BYTES:
                 raise run_lib.AttemptFailedError(
-                    "bad_answer",
+                    BAD_ANSWER,
                     f"body exceeds the limit of {_MAX_ANSWER_BYTES} bytes",
                     False,
                 )
--- a/tamarackpier/traffic/crash_watch.py
+++ b/tamarackpier/traffic/crash_watch.py
@@ -58,8 +58,8 @@
         request_id: ID of the request.
         fingerprint: Fingerprint of the request.
         upstream: Upstream that may have run it.
-        is_broken: Whether the connection broke, which justifies a probe;
-            otherwise the attempt was given up.
+        is_broken: Whether the connection broke or the answer was invalid,
+            which justifies a probe; otherwise the attempt was given up.
         at: Time at which it ended, in seconds on the monotonic clock.
         part_fingerprints: Fingerprints of the shared parts of its prompt, by
             the part's ID.
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -249,7 +249,7 @@
     except events.StreamGapError as error:
         raise run_lib.AttemptFailedError("gap", str(error), False) from error
     except run_lib.AttemptFailedError as error:
-        if error.reason not in ("bad_answer", attempt.LIMITED):
+        if error.reason not in (attempt.BAD_ANSWER, attempt.LIMITED):
             relay.on_attempt_failed(key)
         raise
     finally:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -128,6 +128,15 @@
     deployment_fixtures.run(check, count=3, order_engine_count=6)
 
 
+def test_a_request_that_leaves_error_pages_of_silent_engines_stops_too():
+    async def check(deployment):
+        deployment.platform.crashes_silently = True
+        deployment.platform.sends_error_pages = True
+        await _check_crashing_request(deployment, "/status/1", 0, 20.0)
+
+    deployment_fixtures.run(check, count=3, order_engine_count=6)
+
+
 def test_a_crashing_order_stops_reaching_engines():
     async def check(deployment):
         await _check_crashing_request(deployment, "/order/1", 0)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -902,6 +902,38 @@
     _run(check)
 
 
+def test_a_request_with_an_invalid_answer_is_a_suspect_if_its_engine_ends():
+    async def send_error_page(arrival):
+        await arrival.write(
+            b"HTTP/1.1 500 Internal Server Error\r\n"
+            b"Content-Length: 4\r\nConnection: close\r\n\r\nOops"
+        )
+
+    async def check():
+        async with (
+            rough_engine.serve_script(send_error_page) as (address, _),
+            relay_fixtures.serve_relay(
+                [
+                    relay_fixtures.plain_engine("o1", address),
+                    *relay_fixtures.replica("r1", address),
+                ]
+            ) as request_relay,
+        ):
+            for path in ("/order/1", "/status/1", "/draft/1"):
+                await request_relay.handle(
+                    relay_fixtures.request(path),
+                    relay_fixtures.RecordingCaller(),
+                )
+            watch = request_relay.crash_watch
+            now = time.monotonic()
+            assert len(watch.due_for_probe(now)) == 2
+            watch.check_rows({}, now)
+            assert sorted(watch.deaths) == ["o1@1", "r1@1"]
+            assert len(request_relay.quarantine.crashes) == 3
+
+    _run(check)
+
+
 def test_an_engine_that_refuses_beyond_its_limit_is_not_taken_for_faulty():
     async def refuse(arrival):
         headers = f"{wire.Header.REQUEST_RATE}: 0.5\r\n{wire.Header.NOT_RUN}: 1"
