A lease row of another writer does not end the planning of its zone

A lease row that is no JSON, or whose fields have other types or values, failed each read of the lease with an error that was only counted: no instance planned the zone for as long as the row stayed.

Such a row is read as one without a value. The lease is then taken over as from an absent row, on condition that the row has not changed; the fencing numbers stay above those in use.

Before: test_a_zone_is_planned_again_after_an_odd_lease_row failed at its first value after 15 s (condition did not become true in time). Now it passes.

--- a/tamarackpier/daemon/zone_lease.py
+++ b/tamarackpier/daemon/zone_lease.py
@@ -25,6 +25,8 @@
 
 _LEASE_TABLE = "lease"
 _LEASE_S = 3.0
+# Longest lease in a row that is waited for; leaves room for other releases.
+_MAX_LEASE_S = 10 * _LEASE_S
 _ORDER_MARGIN_S = 0.3  # No order is sent this close to the end of the lease.
 # Time between the attempts of contenders of adjacent ranks.
 _RANK_DELAY_S = 0.8
@@ -375,7 +377,7 @@
             self.metrics.count("lease_error", read_result.failure().code.name)
             return
         previous_observation = self._observation
-        row = read_result.unwrap()[self.key]
+        row = lease.readable(read_result.unwrap()[self.key], _MAX_LEASE_S)
         self._observation = lease.observe(
             previous_observation, row, self.clock()
         )
@@ -417,7 +419,7 @@
         read_result = await self.rows.read((self.key,))
         if not pipeline.is_successful(read_result):
             return
-        row = read_result.unwrap()[self.key]
+        row = lease.readable(read_result.unwrap()[self.key], _MAX_LEASE_S)
         held = self.held
         if lease.is_written_by(row, step):
             self._set_held(step, row.version, requested_at)
--- a/tamarackpier/platform/store.py
+++ b/tamarackpier/platform/store.py
@@ -91,7 +91,10 @@
     async def read(
         self, keys: tuple[str, ...]
     ) -> result.Result[dict[str, interfaces.Row], codes.Fault]:
-        """Reads rows one by one, so not as one consistent snapshot."""
+        """Reads rows one by one, so not as one consistent snapshot.
+
+        A value that can't be decoded is returned as an empty one.
+        """
         rows_by_key = {}
         for key in keys:
             table, _, name = key.partition("/")
@@ -105,7 +108,7 @@
             try:
                 rows = page.document["rows"]
                 is_present = bool(rows) and rows[0]["key"] == name
-                rows_by_key[key] = _decode_row(
+                rows_by_key[key] = _decode_row_or_empty(
                     key, rows[0] if is_present else None, page.era
                 )
             except failures.MALFORMED as error:
@@ -431,6 +434,24 @@
     return interfaces.Row(key, version, value)
 
 
+def _decode_row_or_empty(
+    key: str, row: dict[str, Any] | None, era: int
+) -> interfaces.Row:
+    """Returns a row; its value is empty if it can't be decoded."""
+    try:
+        return _decode_row(key, row, era)
+    except failures.MALFORMED as error:
+        if row is None:
+            raise
+        logs.decision(
+            "row unreadable",
+            key=key,
+            detail=failures.describe(error)[:_MAX_LOGGED],
+        )
+        version = interfaces.position(era, int(row["ver"]))
+        return interfaces.Row(key, version, {})
+
+
 def _decode_change(row: dict[str, Any], era: int) -> interfaces.Change:
     version = interfaces.position(era, int(row["ver"]))
     if row.get("removed"):
--- a/tamarackpier/replica/lease.py
+++ b/tamarackpier/replica/lease.py
@@ -28,6 +28,7 @@
     "is_held_by",
     "is_older",
     "observe",
+    "readable",
     "release",
     "renew",
     "lease_after",
@@ -39,6 +40,8 @@
 CLOCK_RATE_ERROR = 0.01
 # Number of fencing numbers for orders under one lease.
 FENCES_PER_LEASE = 1 << 20
+# Highest number of a lease; its fencing numbers stay exact in JSON.
+_MAX_NUMBER = (1 << 53) // FENCES_PER_LEASE
 # Share of a lease's duration after which the holder renews it.
 _RENEW_AFTER_SHARE = 1 / 3
 
@@ -117,6 +120,33 @@
     return LeaseObservation(row.key, row, now)
 
 
+def readable(row: interfaces.Row, max_duration_s: float) -> interfaces.Row:
+    """Returns a lease row, without its value if another writer left that.
+
+    A lease is taken over from such a row as from an absent one, on condition
+    that it has not changed.
+
+    Args:
+        row: Row as read.
+        max_duration_s: Longest duration of a lease, in seconds.
+    """
+    if row.value and _is_lease(row.value, max_duration_s):
+        return row
+    return dataclasses.replace(row, value=None)
+
+
+def _is_lease(value: Any, max_duration_s: float) -> bool:
+    if not isinstance(value, dict) or not isinstance(value.get("holder"), str):
+        return False
+    number, duration_s = value.get("number"), value.get("duration_s")
+    return (
+        isinstance(number, int)
+        and 0 <= number <= _MAX_NUMBER
+        and isinstance(duration_s, int | float)
+        and 0 <= duration_s <= max_duration_s
+    )
+
+
 def holds(held_lease: HeldLease | None, now: float) -> bool:
     """Returns whether the lease exists and has not expired at `now`."""
     return held_lease is not None and now < held_lease.valid_until
--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -296,6 +296,53 @@
     deployment_fixtures.run(check, count=1)
 
 
+def test_a_zone_is_planned_again_after_an_odd_lease_row():
+    lease_row = {"holder": "a/1", "number": 1, "duration_s": 1.0, "nonce": 0}
+    odd_values = (b"", b"\xff", DEEP_LIST, b"[1]", b"1", b"{}")
+    odd_values += tuple(
+        json.dumps(lease_row | {name: MARKER})
+        .encode()
+        .replace(b'"marker"', value)
+        for name, value in (
+            ("holder", b"1"),
+            ("number", b'"1"'),
+            ("number", b"9" * 400),
+            ("number", b"-1"),
+            ("duration_s", b"1e400"),
+            ("duration_s", b"NaN"),
+            ("duration_s", b"86400"),
+            ("duration_s", b"null"),
+        )
+    )
+
+    async def check(deployment):
+        await deployment.until(lambda: all(deployment.serving()))
+        instances = deployment.instances
+        row_store = deployment.platform.store
+        (lease_key,) = {
+            controller.lease.key
+            for instance in instances
+            for controller in instance.zone_controllers.values()
+        }
+        table, _, name = lease_key.partition("/")
+        for value in odd_values:
+            row_store.put(table, name, value)
+            await deployment.until(
+                lambda value=value: row_store.rows[table, name][0] != value
+            )
+        await deployment.until(
+            lambda: any(
+                controller.is_planning
+                for instance in instances
+                for controller in instance.zone_controllers.values()
+            )
+        )
+        for instance in instances:
+            assert _errors(instance) == {}
+
+    deployment_fixtures.run(check, count=2)
+
+
 def test_a_row_that_cannot_be_decoded_hides_no_other_row_of_a_scan():
     rows = [
         {"key": "a", "ver": 1, "value": "e30="},
