Draw two upstreams and take the better, as loads are known late

Cause: each instance chose the replica with the lowest expected time, and heard of what 59 others had sent only rounds later. What seems best to one seems best to all until then; replicas filled by turns and requests queued behind their slots while others had room. A class of fault: a best choice by shared, stale state.

Two upstreams are drawn at random from all whose cost is at most twice the lowest, and the better one takes the request. Slow and failing ones are left out as before.

--- a/tamarackpier/traffic/selection.py
+++ b/tamarackpier/traffic/selection.py
@@ -1,9 +1,9 @@
 """Selects the upstream of an attempt; does no I/O.
 
-The default chooser balances the load: a request goes to the upstream whose
-first event is expected soonest. The candidates tell which upstreams have no
-capacity for the request; the relay offers these to a chooser only for a request
-that may have run already.
+The default chooser balances the load: a request goes to the one of two
+upstreams, drawn at random, whose first event is expected sooner. The candidates
+tell which upstreams have no capacity for the request; the relay offers these to
+a chooser only for a request that may have run already.
 """
 
 import dataclasses
@@ -37,6 +37,10 @@
 # Largest random share that is added to a cost, so that instances with the same
 # view choose differently.
 _JITTER = 0.15
+# Number of upstreams that are compared for a request.
+_CHOICES = 2
+# Ratio to the lowest cost above which an upstream isn't drawn.
+_MAX_COST_RATIO = 2.0
 # Increase of an upstream's cost at a failure rate of 1, as a multiple of its
 # expected time.
 _FAILURE_WEIGHT = 10.0
@@ -94,21 +98,47 @@
 CHOOSERS: registry.Registry[Chooser] = registry.Registry("chooser")
 
 
+def _cost(candidate: Candidate, criteria: SelectionCriteria) -> float:
+    """Returns the time that a request is expected to take, with failures."""
+    is_other_zone = (
+        candidate.engine.availability_zone != criteria.availability_zone
+    )
+    expected_s = candidate.expected_s + (
+        _CROSS_ZONE_RTT_S if is_other_zone else 0.0
+    )
+    return expected_s * (1 + _FAILURE_WEIGHT * candidate.failure_rate)
+
+
+@CHOOSERS.register("two_choices")
+def _two_choices(
+    candidates: list[Candidate], criteria: SelectionCriteria, rng: random.Random
+) -> Candidate:
+    """Returns the better of two that are drawn from all but the worst.
+
+    Many instances learn of the same loads late, so the upstream that seems
+    best to one seems best to all (Mitzenmacher, "How useful is old
+    information?", 2000).
+    """
+    costs = [_cost(candidate, criteria) for candidate in candidates]
+    max_cost = _MAX_COST_RATIO * min(costs)
+    indices = [index for index, cost in enumerate(costs) if cost <= max_cost]
+    drawn = rng.sample(indices, min(_CHOICES, len(indices)))
+    chosen = min(
+        drawn, key=lambda index: costs[index] * rng.uniform(1, 1 + _JITTER)
+    )
+    return candidates[chosen]
+
+
 @CHOOSERS.register("soonest")
 def _soonest(
     candidates: list[Candidate], criteria: SelectionCriteria, rng: random.Random
 ) -> Candidate:
-    def cost(candidate: Candidate) -> float:
-        is_other_zone = (
-            candidate.engine.availability_zone != criteria.availability_zone
-        )
-        expected_s = candidate.expected_s + (
-            _CROSS_ZONE_RTT_S if is_other_zone else 0.0
-        )
-        expected_s *= 1 + _FAILURE_WEIGHT * candidate.failure_rate
-        return expected_s * rng.uniform(1, 1 + _JITTER)
-
-    return min(candidates, key=cost)
+    return min(
+        candidates,
+        key=lambda candidate: (
+            _cost(candidate, criteria) * rng.uniform(1, 1 + _JITTER)
+        ),
+    )
 
 
 @CHOOSERS.register("random")
