Keep the zones to plan until an engine changes

The fleet view keeps the zones by service, like its replicas, until an engine changes. The test fails on the code before, which has no such view.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -446,11 +446,10 @@
         routing = self.configuration.routing
         if routing is None:
             return
-        zones_to_plan = {
-            engine.availability_zone
-            for engine in self.fleet.engines.values()
-            if self.relay.engine_spec(engine.service) is not None
-        }
+        zones_to_plan: set[str] = set()
+        for service in routing.configuration.services.values():
+            if service.engine is not None:
+                zones_to_plan |= self.fleet.zones_of_service(service.name)
         for zone in zones_to_plan - set(self.zone_controllers):
             self.zone_controllers[zone] = zone_controller.ZoneController(
                 zone,
--- a/tamarackpier/fleet/fleet_view.py
+++ b/tamarackpier/fleet/fleet_view.py
@@ -101,6 +101,7 @@
         self._replicas: dict[model.ReplicaKey, model.Replica] | None = None
         self._open: dict[tuple[str, str], list[model.Replica]] | None = None
         self._by_service: dict[str, list[model.EngineRecord]] | None = None
+        self._zones: dict[str, set[str]] | None = None
 
     def set_services(
         self, services: Mapping[str, routing_model.ServiceSpec]
@@ -335,6 +336,15 @@
             self._by_service = by_service
         return self._by_service.get(service, [])
 
+    def zones_of_service(self, service: str) -> set[str]:
+        """Returns the availability zones with an engine of a service."""
+        if self._zones is None:
+            zones = collections.defaultdict(set)
+            for engine in self.engines.values():
+                zones[engine.service].add(engine.availability_zone)
+            self._zones = zones
+        return self._zones.get(service, set())
+
     def _open_replicas(
         self,
     ) -> Mapping[tuple[str, str], list[model.Replica]]:
@@ -402,3 +412,4 @@
         self._replicas = None
         self._open = None
         self._by_service = None
+        self._zones = None
--- a/tamarackpier/peer/roster.py
+++ b/tamarackpier/peer/roster.py
@@ -153,10 +153,11 @@
         The beat of a live peer rose recently, and its address has not refused
         a connection since.
         """
+        silent_s = self.silent_s
         return [
             peer
             for peer, beat_at in self.others.values()
-            if now - beat_at < self.silent_s and peer.id not in self.refused
+            if now - beat_at < silent_s and peer.id not in self.refused
         ]
 
     def expire(self, now: float) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -392,6 +392,30 @@
     assert len(joins) == 4
 
 
+class _CountedEngines(dict):
+    """Engines by ID; counts how often all are gone through."""
+
+    def __init__(self, engines):
+        super().__init__(engines)
+        self.passes = 0
+
+    def values(self):
+        self.passes += 1
+        return super().values()
+
+
+def test_unchanged_engines_are_not_gone_through_for_the_zones_to_plan():
+    fleet = fleet_view.FleetView()
+    fleet.replace([hosted_fixtures.record(f"e{i}") for i in range(9)], 0.0)
+    fleet.engines = _CountedEngines(fleet.engines)
+    for _ in range(10):
+        assert fleet.zones_of_service("drafts") == {"zone-a"}
+    assert fleet.engines.passes <= 1
+    fleet.put(hosted_fixtures.record("e9", availability_zone="zone-b"))
+    assert fleet.zones_of_service("drafts") == {"zone-a", "zone-b"}
+    assert fleet.zones_of_service("orders") == set()
+
+
 def test_observation_overrides_the_row_until_it_expires():
     record = hosted_fixtures.record("e1")
     fleet = _create_fleet([record])
