Measure late first events apart from delays of the event loop

`first_event_excess` is the time beyond what the replica was expected to take, `loop_delay` by how much an instance's own timers are late, `processor_seconds` what it has used.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -293,6 +293,7 @@
             "configuration_version": self.configuration.version,
             "store_calls": self.rows.calls,
             "probes": self.gateway.probes,
+            "processor_seconds": time.process_time(),
         }
         invariants = self.relay.invariants
         for name, count in invariants.checks.items():
@@ -476,7 +477,11 @@
                 # The instance continues to serve; the next tick tries again.
                 self.metrics.count("loop_error", "tick")
                 logging.exception("periodic tick failed")
+            slept_from = self.clock()
             await asyncio.sleep(_TICK_S)
+            self.metrics.record(
+                "loop_delay", self.clock() - slept_from - _TICK_S
+            )
 
     def tick(self) -> None:
         """Runs the periodic work that is due."""
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -234,6 +234,9 @@
                 relay.replica_loads.finish_reading(key, unread_tokens)
                 unread_tokens = 0
                 relay.metrics.record("first_event", now - sent_at)
+                relay.metrics.record(
+                    "first_event_excess", now - sent_at - candidate.expected_s
+                )
                 slowness = (now - sent_at) / max(candidate.expected_s, 1e-3)
                 relay.replica_scores.record_success(key.replica, slowness, now)
             await _write(output, answer, connection, is_end=not data)
