Load the weights of the model that is short into idle engines

Cause: a domain whose free engines could form any replica without a load got no loads, though that replica wasn't formed since its model was covered; and all free engines with the weights of a model that has a replica in their domain were kept as its spares, 16 for one replica.

While a model has fewer replicas than its load needs, loads complete only replicas of such models, and two engines a domain and model are kept as spares. When no model is short nothing changes, nor does what is formed.

Before, test_idle_engines_of_a_covered_model_load_the_weights_of_a_short_one failed with no loads instead of three.

--- a/tamarackpier/fleet/staging.py
+++ b/tamarackpier/fleet/staging.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import math
 from collections.abc import Collection, Mapping, Sequence
 
 from tamarackpier.fleet import fleet_view, model
@@ -17,6 +18,9 @@
 
 # Longest wait for a load to complete before the engine may get a new order.
 _LOAD_TIMEOUT_S = 40.0
+# Free engines that keep the weights of a model with a replica in their domain
+# while another model is short of replicas.
+_MIN_SPARES = 2
 # Sort key of a domain in which no load would help to form a replica; follows
 # every number of loads.
 _LAST_SORT_KEY = 99
@@ -89,6 +93,7 @@
         free: Mapping[str, Sequence[model.EngineRecord]],
         in_replicas: Mapping[str, Mapping[str, int]],
         models: Sequence[routing_model.ModelSpec],
+        short: Collection[str],
         now: float,
     ) -> list[model.Order]:
         """Returns the orders for the loads to start now.
@@ -98,12 +103,18 @@
             in_replicas: Number of engines in replicas, by domain and model.
             models: Models in order of coverage, which is the ratio of their
                 replicas to those that the load needs; lowest first.
+            short: Names of the models with fewer replicas than that; if there
+                are any, loads complete only replicas of these.
             now: Current time, in seconds on the monotonic clock.
         """
+        short_models = [spec for spec in models if spec.name in short]
+        kept_spares = _MIN_SPARES if short_models else math.inf
         planned_loads: list[PlannedLoad] = []
         for domain in sorted(free, key=lambda name: self._sort_key(free[name])):
             engine_counts = in_replicas.get(domain, {})
-            completions = self._completions(free[domain], engine_counts, models)
+            completions = self._completions(
+                free[domain], engine_counts, short_models or models, kept_spares
+            )
             planned_loads += completions
             planned_loads += self._spares(
                 free[domain], engine_counts, completions
@@ -149,6 +160,7 @@
         free: Sequence[model.EngineRecord],
         engine_counts: Mapping[str, int],
         models: Sequence[routing_model.ModelSpec],
+        kept_spares: float,
     ) -> list[PlannedLoad]:
         """Returns the fewest loads with which free engines form a replica.
 
@@ -156,6 +168,7 @@
             free: Free engines of a domain.
             engine_counts: Number of engines in the domain's replicas, by model.
             models: Models in order of coverage, lowest first.
+            kept_spares: Number of spares of a model that keep its weights.
 
         Returns:
             The loads; empty if no replica can be completed, or if the free
@@ -169,9 +182,9 @@
             missing = spec.span - len(holders)
             if missing <= 0:
                 return []
-            candidates = self._reloadable(free, holders, engine_counts)[
-                :missing
-            ]
+            candidates = self._reloadable(
+                free, holders, engine_counts, kept_spares
+            )[:missing]
             if len(candidates) < missing:
                 continue
             if best is None or missing < len(best):
@@ -183,21 +196,26 @@
         free: Sequence[model.EngineRecord],
         holders: Collection[model.EngineRecord],
         engine_counts: Mapping[str, int],
+        kept_spares: float,
     ) -> list[model.EngineRecord]:
         """Returns the free engines that may load other weights.
 
-        Spares of a replica in their domain keep their weights.
+        `kept_spares` spares of each model with a replica in their domain keep
+        their weights.
 
         Returns:
             The engines; those without weights come first.
         """
-        candidates = [
-            engine
-            for engine in free
-            if engine not in holders
-            and engine.id not in self.loading
-            and not engine_counts.get(self.model_of(engine))
-        ]
+        spare_counts: collections.Counter[str] = collections.Counter()
+        candidates = []
+        for engine in sorted(free, key=lambda engine: engine.id):
+            name = self.model_of(engine)
+            spare_counts[name] += 1
+            is_kept = (
+                engine_counts.get(name) and spare_counts[name] <= kept_spares
+            )
+            if not (is_kept or engine in holders or engine.id in self.loading):
+                candidates.append(engine)
         return sorted(
             candidates, key=lambda engine: (bool(engine.staged), engine.id)
         )
--- a/tamarackpier/fleet/zone_planner.py
+++ b/tamarackpier/fleet/zone_planner.py
@@ -108,6 +108,7 @@
                 free,
                 self._engines_in_replicas(replicas, fleet),
                 self._models_by_coverage(fleet),
+                self._short_models(fleet),
                 now,
             )
         return orders
@@ -427,6 +428,14 @@
             key=lambda spec: (self._coverage(spec, fleet), -spec.share),
         )
 
+    def _short_models(self, fleet: fleet_view.FleetView) -> set[str]:
+        """Returns the names of the models with too few replicas."""
+        return {
+            spec.name
+            for spec in self.spec.models
+            if self._coverage(spec, fleet) < 1
+        }
+
     def _engines_in_replicas(
         self,
         replicas: Mapping[model.ReplicaKey, model.Replica],
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -238,6 +238,40 @@
     ]
 
 
+def test_idle_engines_of_a_covered_model_load_the_weights_of_a_short_one():
+    serving = [
+        record
+        for index in range(3)
+        for record in hosted_fixtures.replica_records(f"r{index}", index + 1)
+    ]
+    idle = [
+        hosted_fixtures.record(f"idle-{index}", domain="d1", staged=("large",))
+        for index in range(4)
+    ]
+    fleet = _create_fleet([*serving, *idle])
+    orders = _create_planner().tick(fleet, {"small": 40}, 0.0)
+    loads = [(order.kind, order.model) for order in orders]
+    assert loads == [(model.OrderKind.STAGE, "small")] * 3
+
+
+def test_some_spares_of_a_replica_keep_its_weights_while_a_model_is_short():
+    for spare_count, load_count in ((4, 0), (5, 3)):
+        spares = [
+            hosted_fixtures.record(f"spare-{index}", staged=("large",))
+            for index in range(spare_count)
+        ]
+        planner = _create_planner()
+        orders = planner.staging.orders(
+            {"d0": spares},
+            {"d0": {"large": 4}},
+            planner.spec.models,
+            {"small"},
+            0.0,
+        )
+        loads = [(order.kind, order.model) for order in orders]
+        assert loads == [(model.OrderKind.STAGE, "small")] * load_count
+
+
 def test_lead_is_opened_only_after_every_member_is_ready():
     records = hosted_fixtures.replica_records(state=model.MemberState.READY)
     joining = hosted_fixtures.with_state(records[3], model.MemberState.JOINING)
