--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -78,7 +78,7 @@
     retry_ratio: float
     retry_extra: float
     retry_window_s: float
-    chooser: str = "two_choices"
+    chooser: str = "few_choices"
 
 
 _NOT_RUN_OUTCOMES = (codes.Outcome.NOT_RUN, codes.Outcome.REFUSED_BY_UPSTREAM)
--- a/tamarackpier/traffic/selection.py
+++ b/tamarackpier/traffic/selection.py
@@ -1,9 +1,9 @@
 """Selects the upstream of an attempt; does no I/O.
 
-The default chooser balances the load: a request goes to the one of two
-upstreams, drawn at random, whose first event is expected sooner. The candidates
-tell which upstreams have no capacity for the request; the relay offers these to
-a chooser only for a request that may have run already.
+The default chooser balances the load: a request goes to the one of a few
+upstreams, drawn at random, whose first event is expected soonest. The
+candidates tell which upstreams have no capacity for the request; the relay
+offers these to a chooser only for a request that may have run already.
 """
 
 import dataclasses
@@ -37,8 +37,10 @@
 # Largest random share that is added to a cost, so that instances with the same
 # view choose differently.
 _JITTER = 0.15
-# Number of upstreams that are compared for a request.
-_CHOICES = 2
+# Number of upstreams that are compared for a request, and how many of them are
+# in the instance's own zone if that has so many.
+_CHOICES = 3
+_NEAR_CHOICES = 2
 # Ratio to the lowest cost above which an upstream isn't drawn.
 _MAX_COST_RATIO = 2.0
 # Increase of an upstream's cost at a failure rate of 1, as a multiple of its
@@ -109,20 +111,28 @@
     return expected_s * (1 + _FAILURE_WEIGHT * candidate.failure_rate)
 
 
-@CHOOSERS.register("two_choices")
-def _two_choices(
+@CHOOSERS.register("few_choices")
+def _few_choices(
     candidates: list[Candidate], criteria: SelectionCriteria, rng: random.Random
 ) -> Candidate:
-    """Returns the better of two that are drawn from all but the worst.
+    """Returns the best of a few that are drawn from all but the worst.
 
     Many instances learn of the same loads late, so the upstream that seems
     best to one seems best to all (Mitzenmacher, "How useful is old
-    information?", 2000).
+    information?", 2000). Loads in the own zone are known sooner, so more are
+    drawn from it.
     """
     costs = [_cost(candidate, criteria) for candidate in candidates]
     max_cost = _MAX_COST_RATIO * min(costs)
-    indices = [index for index, cost in enumerate(costs) if cost <= max_cost]
-    drawn = rng.sample(indices, min(_CHOICES, len(indices)))
+    near: list[int] = []
+    far: list[int] = []
+    for index, candidate in enumerate(candidates):
+        if costs[index] <= max_cost:
+            zone = candidate.engine.availability_zone
+            (near if zone == criteria.availability_zone else far).append(index)
+    drawn = rng.sample(near, min(_NEAR_CHOICES, len(near)))
+    far_count = min(_CHOICES - len(drawn), len(far))
+    drawn += rng.sample(far, far_count)
     chosen = min(
         drawn, key=lambda index: costs[index] * rng.uniform(1, 1 + _JITTER)
     )
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -376,7 +376,7 @@
         lambda key: 6.0 if key.replica == "slow" else 1.0,
         criteria,
     )
-    for name in ("soonest", "two_choices"):
+    for name in ("soonest", "few_choices"):
         choose = selection.CHOOSERS.get(name)
         for seed in range(20):
             candidate = choose(candidates, criteria, random.Random(seed))
--- a/tests/test_stale_loads.py
+++ b/tests/test_stale_loads.py
@@ -1,5 +1,6 @@
 """Tests of selection by many instances that know loads late."""
 
+import dataclasses
 import heapq
 import itertools
 import random
@@ -11,8 +12,10 @@
 INSTANCES = 60
 REPLICAS = 20
 ROUND_S = 0.25
-# A state takes so many rounds to reach another instance, at most.
-MAX_ROUNDS = 3
+# A state takes so many rounds to reach another instance of its zone, or one of
+# another zone, at most.
+NEAR_ROUNDS = 3
+FAR_ROUNDS = 6
 ANSWER_S = 1.0
 DURATION_S = 12.0
 # An answer behind a full replica is late, and a late answer earns a quarter.
@@ -29,17 +32,10 @@
         queued: Number of those that found all slots in use.
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, zone_count):
         self.rng = random.Random(seed)
-        self.replicas = [
-            model.Replica(
-                model.ReplicaKey(f"r{index}", 1),
-                "large",
-                4,
-                tuple(enumerate(hosted_fixtures.replica_records(f"r{index}"))),
-            )
-            for index in range(REPLICAS)
-        ]
+        self.zone_count = zone_count
+        self.replicas = [self._replica(index) for index in range(REPLICAS)]
         self.loads = [load.Loads() for _ in range(INSTANCES)]
         self.running = {replica.key: 0 for replica in self.replicas}
         self.arrived = self.queued = 0
@@ -57,6 +53,17 @@
             now, _, work, arguments = heapq.heappop(self._events)
             work(now, *arguments)
 
+    def _replica(self, index):
+        records = [
+            dataclasses.replace(record, availability_zone=self._zone(index))
+            for record in hosted_fixtures.replica_records(f"r{index}")
+        ]
+        key = records[0].membership.key
+        return model.Replica(key, "large", 4, tuple(enumerate(records)))
+
+    def _zone(self, index):
+        return f"zone-{index % self.zone_count}"
+
     def _add(self, at, work, *arguments):
         heapq.heappush(self._events, (at, next(self._order), work, arguments))
 
@@ -65,7 +72,9 @@
         usages = dict(self.loads[index].own_usages)
         for other, loads in enumerate(self.loads):
             if other != index:
-                delay_s = self.rng.uniform(0, MAX_ROUNDS * ROUND_S)
+                is_near = self._zone(index) == self._zone(other)
+                rounds = NEAR_ROUNDS if is_near else FAR_ROUNDS
+                delay_s = self.rng.uniform(0, rounds * ROUND_S)
                 self._add(now + delay_s, self._learn, loads, index, usages)
 
     def _learn(self, now, loads, index, usages):
@@ -73,8 +82,9 @@
 
     def _arrive(self, now, rate):
         self._add(now + self.rng.expovariate(rate), self._arrive, rate)
-        loads = self.rng.choice(self.loads)
-        criteria = selection.SelectionCriteria("zone-a", 500)
+        index = self.rng.randrange(INSTANCES)
+        loads = self.loads[index]
+        criteria = selection.SelectionCriteria(self._zone(index), 500)
         candidates = selection.replica_candidates(
             self.replicas,
             hosted_fixtures.SPEC,
@@ -99,6 +109,7 @@
 
 def test_instances_that_learn_of_loads_late_do_not_crowd_the_same_replicas():
     for seed in (1, 2, 3):
-        replicas = _Replicas(seed)
-        replicas.run(0.7)
-        assert replicas.queued <= MAX_QUEUED * replicas.arrived
+        for zone_count, busy_share in ((1, 0.7), (4, 0.6)):
+            replicas = _Replicas(seed, zone_count)
+            replicas.run(busy_share)
+            assert replicas.queued <= MAX_QUEUED * replicas.arrived
