Ask an engine again only after reading what has arrived

Cause: a probe of an engine is tried again after 30 and 60 ms. Asking the 16 members of a replica takes an instance with half a core longer than that, and its timers are due before it has read the answers: it asked each engine up to three times, which delayed it more, so that streams of other replicas seemed silent and were asked after as well. A class of fault: repeating work because one is slow oneself.

A later try waits as long again as its timer was late, 40 ms at most, so that an answer that has arrived is read first. The first try, its timeout and what a missing answer proves are as before.

--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -316,7 +316,12 @@
     async def _request_after(
         self, engine: model.EngineRecord, delay_s: float
     ) -> ReportResult:
+        due_at = self.clock() + delay_s
         await asyncio.sleep(delay_s)
+        lag_s = self.clock() - due_at
+        if delay_s and lag_s > 0:
+            # The answer to an earlier try may have arrived meanwhile.
+            await asyncio.sleep(min(lag_s, _MAX_LOOP_LAG_S))
         return await self.gateway.report(engine, _TRY_TIMEOUT_S)
 
     async def _recheck(self, engine_id: str) -> None:
