--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -339,6 +339,7 @@
             "store_calls": self.rows.calls,
             "probes": self.gateway.probes,
             "links_lost": int(self.reach.is_cut),
+            "processor_seconds": time.process_time(),
         }
         invariants = self.relay.invariants
         for name, count in invariants.checks.items():
@@ -520,11 +521,10 @@
         routing = self.configuration.routing
         if routing is None:
             return
-        zones_to_plan = {
-            engine.availability_zone
-            for engine in self.fleet.engines.values()
-            if self.relay.engine_spec(engine.service) is not None
-        }
+        zones_to_plan: set[str] = set()
+        for service in routing.configuration.services.values():
+            if service.engine is not None:
+                zones_to_plan |= self.fleet.zones_of_service(service.name)
         for zone in zones_to_plan - set(self.zone_controllers):
             self.zone_controllers[zone] = zone_controller.ZoneController(
                 zone,
@@ -551,7 +551,11 @@
                 # The instance continues to serve; the next tick tries again.
                 self.metrics.count("loop_error", "tick")
                 logging.exception("periodic tick failed")
+            slept_from = self.clock()
             await asyncio.sleep(_TICK_S)
+            self.metrics.record(
+                "loop_delay", self.clock() - slept_from - _TICK_S
+            )
 
     def tick(self) -> None:
         """Runs the periodic work that is due."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -319,6 +319,40 @@
     ]
 
 
+def test_idle_engines_of_a_covered_model_load_the_weights_of_a_short_one():
+    serving = [
+        record
+        for index in range(3)
+        for record in hosted_fixtures.replica_records(f"r{index}", index + 1)
+    ]
+    idle = [
+        hosted_fixtures.record(f"idle-{index}", domain="d1", staged=("large",))
+        for index in range(4)
+    ]
+    fleet = _create_fleet([*serving, *idle])
+    orders = _create_planner().tick(fleet, {"small": 40}, 0.0)
+    loads = [(order.kind, order.model) for order in orders]
+    assert loads == [(model.OrderKind.STAGE, "small")] * 3
+
+
+def test_some_spares_of_a_replica_keep_its_weights_while_a_model_is_short():
+    for spare_count, load_count in ((4, 0), (5, 3)):
+        spares = [
+            hosted_fixtures.record(f"spare-{index}", staged=("large",))
+            for index in range(spare_count)
+        ]
+        planner = _create_planner()
+        orders = planner.staging.orders(
+            {"d0": spares},
+            {"d0": {"large": 4}},
+            planner.spec.models,
+            {"small"},
+            0.0,
+        )
+        loads = [(order.kind, order.model) for order in orders]
+        assert loads == [(model.OrderKind.STAGE, "small")] * load_count
+
+
 def test_lead_is_opened_only_after_every_member_is_ready():
     records = hosted_fixtures.replica_records(state=model.MemberState.READY)
     joining = hosted_fixtures.with_state(records[3], model.MemberState.JOINING)
@@ -564,6 +598,30 @@
     assert len(joins) == 4
 
 
+class _CountedEngines(dict):
+    """Engines by ID; counts how often all are gone through."""
+
+    def __init__(self, engines):
+        super().__init__(engines)
+        self.passes = 0
+
+    def values(self):
+        self.passes += 1
+        return super().values()
+
+
+def test_unchanged_engines_are_not_gone_through_for_the_zones_to_plan():
+    fleet = fleet_view.FleetView()
+    fleet.replace([hosted_fixtures.record(f"e{i}") for i in range(9)], 0.0)
+    fleet.engines = _CountedEngines(fleet.engines)
+    for _ in range(10):
+        assert fleet.zones_of_service("drafts") == {"zone-a"}
+    assert fleet.engines.passes <= 1
+    fleet.put(hosted_fixtures.record("e9", availability_zone="zone-b"))
+    assert fleet.zones_of_service("drafts") == {"zone-a", "zone-b"}
+    assert fleet.zones_of_service("orders") == set()
+
+
 def test_observation_overrides_the_row_until_it_expires():
     record = hosted_fixtures.record("e1")
     fleet = _create_fleet([record])
