--- a/tamarackpier/daemon/linked_gateway.py
+++ b/tamarackpier/daemon/linked_gateway.py
@@ -3,7 +3,6 @@
 Calls go through peers while own links to the engines are lost.
 """
 
-import asyncio
 from collections.abc import Callable
 
 from returns import pipeline, result
@@ -78,7 +77,7 @@
         except gateway.AnswerBrokenError:
             self.reach.fail(contact)
             raise
-        except asyncio.CancelledError:
+        except BaseException:
             self.reach.abandon(contact)
             raise
         self.reach.answer(contact)
