Have members leave at once whose replica was retired before they were seen

An engine that joins a replica after it was retired, or whose row came later, was found by the question before its next order to join, and then kept for 1.5 s as a member of a replica that stays incomplete. The planner remembers the last 4096 replicas that it retired, and has such a member leave at once.

test_member_that_was_unseen_when_its_replica_retired_leaves_at_once fails before.

--- a/tamarackpier/fleet/retirement.py
+++ b/tamarackpier/fleet/retirement.py
@@ -22,8 +22,9 @@
 # Longest wait of an open replica with a leaving member for spares; the platform
 # grants a leaving member 10 s while there is work.
 _LEAVE_TIMEOUT_S = 6.0
-# Failed replicas that are remembered; some are never seen in any row.
-_MAX_FAILED_REPLICAS = 4096
+# Failed or retired replicas that are remembered; rows or answers may name them
+# much later.
+_MAX_PAST_REPLICAS = 4096
 
 # Outcomes of an order to leave after which the engine is not in the replica.
 _LEFT_OUTCOMES = (
@@ -78,21 +79,22 @@
         self.released: dict[str, model.ReplicaKey] = {}
         self.confirmed_failed: set[model.ReplicaKey] = set()
         self.completed: set[model.ReplicaKey] = set()
+        self._retired: set[model.ReplicaKey] = set()
         self._unready_since: dict[model.ReplicaKey, float] = {}
         self._leaving_since: dict[model.ReplicaKey, float] = {}
 
     def prune(self, replicas: Mapping[model.ReplicaKey, model.Replica]) -> None:
         """Forgets the replicas that no row names any more.
 
-        Failed ones may be named later; the oldest of too many are forgotten.
+        Failed and retired ones may be named later; the oldest of too many are
+        forgotten.
 
         Args:
             replicas: Replicas that a row names, by key.
         """
         self.completed &= set(replicas)
-        if len(self.confirmed_failed) > _MAX_FAILED_REPLICAS:
-            newest = sorted(self.confirmed_failed, key=lambda key: key.fence)
-            self.confirmed_failed = set(newest[-_MAX_FAILED_REPLICAS:])
+        self.confirmed_failed = _newest(self.confirmed_failed)
+        self._retired = _newest(self._retired)
         for since_by_key in (self._unready_since, self._leaving_since):
             for key in [key for key in since_by_key if key not in replicas]:
                 del since_by_key[key]
@@ -160,10 +162,13 @@
             retirement.has_lead_left = True
 
     def take_back(self, engine_id: str, key: model.ReplicaKey) -> None:
-        """Takes back the release of an engine that is in its replica again.
+        """Retires a replica again if an engine is still, or again, in it.
 
-        An order to join that was carried out late has this effect.
+        An order to join that was carried out late has this effect, or one whose
+        effect was not visible when the replica was retired.
         """
+        if key in self._retired:
+            self.confirmed_failed.add(key)
         if self.released.get(engine_id) == key:
             del self.released[engine_id]
             self.confirmed_failed.add(key)
@@ -292,6 +297,15 @@
         del self.active[key]
         self.confirmed_failed.discard(key)
         self.completed.add(key)
+        self._retired.add(key)
+
+
+def _newest(keys: set[model.ReplicaKey]) -> set[model.ReplicaKey]:
+    """Returns the replicas with the highest fencing numbers."""
+    if len(keys) <= _MAX_PAST_REPLICAS:
+        return keys
+    by_fence = sorted(keys, key=lambda key: key.fence)
+    return set(by_fence[-_MAX_PAST_REPLICAS:])
 
 
 def _member_state(engine: model.EngineRecord) -> model.MemberState | None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -856,3 +856,21 @@
         (model.OrderKind.LEAVE, "r1-2"),
         (model.OrderKind.LEAVE, "r1-3"),
     ]
+
+
+def test_member_that_was_unseen_when_its_replica_retired_leaves_at_once():
+    records = hosted_fixtures.replica_records()
+    unseen = dataclasses.replace(records[3], membership=None)
+    fleet = _create_fleet([*records[:3], unseen, *_spares(3)])
+    planner = _create_planner()
+    planner.confirm_failed(model.ReplicaKey("r1", 1))
+    fleet.silent["r1-0"] = 0.0
+    for order in planner.tick(fleet, {}, 0.0):
+        planner.record_outcome(order, model.OrderOutcome.ACCEPTED)
+    planner.tick(fleet, {}, 0.1)
+    fleet.record_answer(_create_report(records[3]), 0.2, unseen)
+    planner.record_answer(_create_report(records[3]))
+    orders = planner.tick(fleet, {}, 0.2)
+    assert (model.OrderKind.LEAVE, "r1-3") in [
+        (order.kind, order.engine.id) for order in orders
+    ]
