Let answers of engines that are to join count from their own question

An instance with little processor time asked all free engines of its zone at once, dated all answers from the first question, recorded them only when the slowest had answered, and asked again after 0.1 s while it still waited.

Each answer now counts from its own question and as soon as it arrives, an engine whose answer is awaited is not asked again, and engines are asked by domain, 24 at once at most.

--- a/tamarackpier/daemon/zone_controller.py
+++ b/tamarackpier/daemon/zone_controller.py
@@ -1,12 +1,14 @@
 """Plans an availability zone and sends the orders of its planners."""
 
-import asyncio
 from collections.abc import Callable, Iterable, Mapping
 
-from returns import pipeline
-
 from tamarackpier import logs, metrics, tasks
-from tamarackpier.daemon import engine_poller, probing, zone_lease
+from tamarackpier.daemon import (
+    engine_poller,
+    join_questions,
+    probing,
+    zone_lease,
+)
 from tamarackpier.fleet import fleet_view, model, zone_planner
 from tamarackpier.peer import roster as roster_lib
 from tamarackpier.peer import zone_claims
@@ -18,7 +20,6 @@
 
 _ORDER_TIMEOUT_S = 0.3  # 30 times the 10 ms that an answer takes.
 _VERIFY_INTERVAL_S = 1.0  # Time between probe rounds for one suspension.
-_ASK_INTERVAL_S = 0.1  # Time between two questions to an engine.
 # Characters of the instance ID that names of replicas include.
 _MAX_ID_CHARACTERS = 40
 
@@ -73,13 +74,14 @@
         self.engine_poller = engine_poller.EnginePoller(
             fleet, engine_gateway, counts, clock, prober.probe_after_failure
         )
+        self.join_questions = join_questions.JoinQuestions(
+            fleet, prober, counts, clock, self._plan_with_answers
+        )
         self.planners: dict[str, zone_planner.ZonePlanner] = {}
         self._summaries: dict[str, dict[str, object]] = {}
         self._tasks = tasks.Tasks()
         self._verifications: set[model.ReplicaKey] = set()
         self._verified_at: dict[model.ReplicaKey, float] = {}
-        # Time of the last question to each engine, by ID.
-        self._asked_at: dict[str, float] = {}
 
     @property
     def is_planning(self) -> bool:
@@ -137,7 +139,7 @@
                 logs.event("zone", zone=self.zone, **summary)
             for order in orders:
                 self._tasks.start(self._send_order(planner, order))
-            self._ask_unconfirmed(planner, now)
+            self.join_questions.ask(planner)
 
     async def release(self) -> None:
         """Releases the lease so that another instance can plan at once."""
@@ -176,47 +178,8 @@
         """Returns the end of this instance's ID, without the incarnation."""
         return self.lease.holder.rpartition("/")[0][-_MAX_ID_CHARACTERS:]
 
-    def _ask_unconfirmed(
-        self, planner: zone_planner.ZonePlanner, now: float
-    ) -> None:
-        """Asks the engines that a planner would order to join."""
-        for engine_id, asked_at in list(self._asked_at.items()):
-            if now - asked_at >= _ASK_INTERVAL_S:
-                del self._asked_at[engine_id]
-        engines = [
-            self.fleet.engines[engine_id]
-            for engine_id in sorted(planner.unconfirmed - set(self._asked_at))
-            if engine_id in self.fleet.engines
-        ]
-        if engines:
-            for engine in engines:
-                self._asked_at[engine.id] = now
-            self._tasks.start(self._ask(planner, engines))
-
-    async def _ask(
-        self,
-        planner: zone_planner.ZonePlanner,
-        engines: list[model.EngineRecord],
-    ) -> None:
-        """Asks engines for their place in a replica, and plans with it."""
-        asked_at = self.clock()
-        report_results = await asyncio.gather(
-            *(self.prober.probe_engine(engine) for engine in engines)
-        )
-        for engine, report_result in zip(engines, report_results, strict=True):
-            if pipeline.is_successful(report_result):
-                report = report_result.unwrap()
-                self.metrics.count("asked", "answered")
-                self.fleet.record_answer(report, asked_at, engine)
-                planner.record_answer(report)
-            else:
-                self.metrics.count("asked", "silent")
-                logs.event(
-                    "free engine silent",
-                    engine=engine.id,
-                    detail=str(report_result.failure())[:200],
-                )
-                self.fleet.silent.setdefault(engine.id, self.clock())
+    def _plan_with_answers(self) -> None:
+        """Plans once engines have said whether they are in a replica."""
         if self.is_planning:
             self.plan()
 
--- a/tamarackpier/fleet/zone_planner.py
+++ b/tamarackpier/fleet/zone_planner.py
@@ -151,13 +151,17 @@
         """Records that the failure of a replica has been confirmed."""
         self.retirements.confirmed_failed.add(key)
 
-    def awaited_engines(self) -> set[str]:
-        """Returns the IDs of the engines whose state this planner awaits."""
-        engine_ids = {
+    def forming_engines(self) -> set[str]:
+        """Returns the IDs of the engines that are forming a replica."""
+        return {
             engine_id
             for formation in self.formations.values()
             for engine_id in formation.members
         }
+
+    def awaited_engines(self) -> set[str]:
+        """Returns the IDs of the engines whose state this planner awaits."""
+        engine_ids = self.forming_engines()
         for retiring in self.retirements.active.values():
             engine_ids |= {engine.id for _, engine in retiring.replica.members}
         return engine_ids
@@ -293,11 +297,7 @@
         self, fleet: fleet_view.FleetView, now: float
     ) -> dict[str, list[model.EngineRecord]]:
         """Returns the engines that may join a replica, by domain."""
-        forming_ids = {
-            engine_id
-            for formation in self.formations.values()
-            for engine_id in formation.members
-        }
+        forming_ids = self.forming_engines()
         free = collections.defaultdict(list)
         for engine in fleet.engines.values():
             if not self._is_in_scope(engine) or not engine.domain:
