Let a silent member not end the formation of its replica

An order to join without an answer is sent again after a question. If the engine was silent for that moment too, it was marked silent, the formation was given up, and the freed engines loaded other weights. The order's time limit decides, as before the question existed.

Before, test_a_silent_member_does_not_end_the_formation_of_its_replica failed.

--- a/tamarackpier/daemon/join_questions.py
+++ b/tamarackpier/daemon/join_questions.py
@@ -99,5 +99,7 @@
             return
         self.metrics.count("asked", "silent")
         detail = str(report_result.failure())[:_MAX_LOGGED]
+        if engine.id in planner.forming_engines():
+            return
         logs.event("free engine silent", engine=engine.id, detail=detail)
         self.fleet.silent.setdefault(engine.id, self.clock())
--- a/tests/test_join_questions.py
+++ b/tests/test_join_questions.py
@@ -156,6 +156,34 @@
     _run(check, domains)
 
 
+def test_a_silent_member_does_not_end_the_formation_of_its_replica():
+    async def check(state):
+        await _tick(state)
+        engines = _engines(state)
+        for engine in engines:
+            state.prober.answer(engine)
+        await _settle()
+        assert len(await _tick(state)) == SPAN
+        for order in state.planner.tick(state.fleet, {}, state.now):
+            state.planner.record_outcome(order, model.OrderOutcome.UNKNOWN)
+        state.now += 0.5
+        assert await _tick(state) == []
+        assert set(state.prober.pending) == {engine.id for engine in engines}
+        state.prober.stay_silent(engines[0])
+        for engine in engines[1:]:
+            state.prober.answer(engine)
+        await _settle()
+        state.now += 0.05
+        orders = await _tick(state)
+        assert {(order.kind, order.engine.id) for order in orders} == {
+            (model.OrderKind.JOIN, engine.id) for engine in engines[1:]
+        }
+        assert state.planner.formations
+        assert not state.fleet.silent
+
+    _run(check)
+
+
 def test_a_free_engine_that_does_not_answer_is_silent():
     async def check(state):
         await _tick(state)
