Let lost links make no free engine silent

The question before joining marked engines silent without asking whether own links work, as other probes do since.

Before, test_no_engine_is_silent_to_an_instance_that_has_lost_its_links failed.

--- a/tamarackpier/daemon/join_questions.py
+++ b/tamarackpier/daemon/join_questions.py
@@ -101,5 +101,7 @@
         detail = str(report_result.failure())[:_MAX_LOGGED]
         if engine.id in planner.forming_engines():
             return
+        if not await self.prober.confirm_links(asked_at):
+            return
         logs.event("free engine silent", engine=engine.id, detail=detail)
         self.fleet.silent.setdefault(engine.id, self.clock())
--- a/tests/test_join_questions.py
+++ b/tests/test_join_questions.py
@@ -192,3 +192,14 @@
         assert set(state.fleet.silent) == {"d0-0"}
 
     _run(check)
+
+
+def test_no_engine_is_silent_to_an_instance_that_has_lost_its_links():
+    async def check(state):
+        state.prober.has_links = False
+        await _tick(state)
+        state.prober.stay_silent(_engines(state)[0])
+        await _settle()
+        assert not state.fleet.silent
+
+    _run(check)
