Choose others than an engine that has started again before it joins

The answer of an engine of a later start than its row was dropped, so the same engine was asked every 0.1 s, and its domain formed nothing until the row was renewed or gone. It counts as silent until then.

Before, test_an_engine_that_has_started_again_does_not_block_its_domain failed.

--- a/tamarackpier/daemon/join_questions.py
+++ b/tamarackpier/daemon/join_questions.py
@@ -85,23 +85,31 @@
     async def _ask_one(
         self, planner: zone_planner.ZonePlanner, engine: model.EngineRecord
     ) -> None:
-        """Asks an engine and records its answer as soon as it arrives."""
+        """Asks an engine and records its answer as soon as it arrives.
+
+        An engine that has started again since its row was read counts as
+        silent, since its row says nothing of it. So does one that does not
+        answer, unless it is forming a replica, which has its own time limit.
+        """
         asked_at = self.clock()
         try:
             report_result = await self.prober.probe_engine(engine)
         finally:
             self._asking.discard(engine.id)
+        detail = "it has started again"
         if pipeline.is_successful(report_result):
             report = report_result.unwrap()
             self.metrics.count("asked", "answered")
-            self.fleet.record_answer(report, asked_at, engine)
-            planner.record_answer(report)
-            return
-        self.metrics.count("asked", "silent")
-        detail = str(report_result.failure())[:_MAX_LOGGED]
-        if engine.id in planner.forming_engines():
-            return
-        if not await self.prober.confirm_links(asked_at):
-            return
+            if report.incarnation == engine.incarnation:
+                self.fleet.record_answer(report, asked_at, engine)
+                planner.record_answer(report)
+                return
+        else:
+            self.metrics.count("asked", "silent")
+            detail = str(report_result.failure())[:_MAX_LOGGED]
+            if engine.id in planner.forming_engines():
+                return
+            if not await self.prober.confirm_links(asked_at):
+                return
         logs.event("free engine silent", engine=engine.id, detail=detail)
         self.fleet.silent.setdefault(engine.id, self.clock())
--- a/tests/test_join_questions.py
+++ b/tests/test_join_questions.py
@@ -203,3 +203,29 @@
         assert not state.fleet.silent
 
     _run(check)
+
+
+def test_an_engine_that_has_started_again_does_not_block_its_domain():
+    async def check(state):
+        spare = hosted_fixtures.record("d0-spare", staged=("large",))
+        state.fleet.put(spare)
+        await _tick(state)
+        engines = _engines(state)
+        state.prober.answer(engines[0], incarnation=2)
+        for engine in engines[1:]:
+            state.prober.answer(engine)
+        await _settle()
+        assert set(state.fleet.silent) == {"d0-0"}
+        state.now += 0.05
+        await _tick(state)
+        state.prober.answer(spare)
+        await _settle()
+        orders = await _tick(state)
+        assert {order.engine.id for order in orders} == {
+            "d0-1",
+            "d0-2",
+            "d0-3",
+            "d0-spare",
+        }
+
+    _run(check)
