--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -189,7 +189,7 @@
             self.fleet.replace(self.stale_rows, self.now)
 
     def _read_delayed_rows(self):
-        if self.rng.random() < 1 / ROW_LAG_TICKS:
+        if self.max_row_lag_s and self.rng.random() < 1 / ROW_LAG_TICKS:
             self._row_lag_s = self.rng.uniform(0, self.max_row_lag_s)
         self._unread_rows.append((self.now, self.fabric.rows()))
         rows = None
