Open no replica that an earlier planner left ready

An engine could be in two replicas (TWO): a new planner opened a replica that an earlier one had left ready, while an order of the earlier one to a member, to join another replica with a higher number, was still under way. Fencing numbers refuse older orders, and this one is newer than the replica.

A planner opens only replicas of its own numbers. An earlier one's is retired, and its engines join anew, with a number above all that the earlier planner gave out. Open replicas are kept, as before.

Before, test_no_late_order_of_an_earlier_planner_takes_a_member_of_a_new_replica failed: e0-1-204f joins 'late' 1048579 while 'ready' 1048578 is open; and so did test_replica_that_an_earlier_planner_did_not_open_is_retired.

--- a/tamarackpier/fleet/retirement.py
+++ b/tamarackpier/fleet/retirement.py
@@ -203,6 +203,10 @@
             if replica.lead_state is model.MemberState.CLOSING:
                 return "closing", True
             return None
+        if replica.is_stable:
+            # An earlier planner may have ordered a member to join another
+            # replica, with a higher number, and the engine may yet do so.
+            return "its planner is gone", False
         since = self._unready_since.setdefault(replica.key, now)
         if now - since > _ADOPTION_GRACE_S + self._join_time_s(replica):
             return "stays incomplete", False
--- a/tamarackpier/fleet/zone_planner.py
+++ b/tamarackpier/fleet/zone_planner.py
@@ -1,7 +1,7 @@
 """Plans the replicas of a service in one availability zone.
 
 A planner keeps no state that it could not derive again from the engines' rows:
-its successor adopts ready replicas, retires incomplete ones and continues.
+its successor keeps open replicas, retires all others and continues.
 The fencing number makes this safe: it rises with every replica and with every
 planner, so an engine refuses orders with a lower number than it has seen.
 """
@@ -37,6 +37,7 @@
         zone: Availability zone.
         spec: Capacity and timing of the service's engines.
         holder: Short name of the lease holder; part of the replicas' names.
+        first_fence: Lowest fencing number of this planner's replicas.
         next_fence: Fencing number of the next replica.
         formations: Replicas that are being formed, by key.
         retirements: Replicas that are being retired, and released members.
@@ -60,6 +61,7 @@
         self.zone = zone
         self.spec = spec
         self.holder = holder
+        self.first_fence = first_fence
         self.next_fence = first_fence
         self.formations: dict[model.ReplicaKey, formation_lib.Formation] = {}
         self.retirements = retirement.Retirements(spec)
@@ -219,7 +221,7 @@
     def _review(
         self, replica: model.Replica, fleet: fleet_view.FleetView, now: float
     ) -> None:
-        """Adopts a replica that is ready to open, or retires it if need be.
+        """Adopts an own replica that is ready, or retires one if need be.
 
         It retires no replica while the present state of a member is unknown,
         unless the failure of the replica is confirmed.
@@ -232,7 +234,13 @@
             self.retirements, replica
         )
         is_failed = key in self.retirements.confirmed_failed
-        if replica.is_stable and is_ready and not (is_abandoned or is_failed):
+        is_own = key.fence >= self.first_fence
+        if (
+            replica.is_stable
+            and is_ready
+            and is_own
+            and not (is_abandoned or is_failed)
+        ):
             self._adopt(replica, now)
             return
 
@@ -252,7 +260,7 @@
         self.retirements.review(replica, count_spares, now)
 
     def _adopt(self, replica: model.Replica, now: float) -> None:
-        """Takes over the formation of a replica from an earlier planner."""
+        """Continues the formation of a replica that was taken for open."""
         spec = self.spec.model(replica.model)
         if spec is None:
             return
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -357,7 +357,7 @@
     records = hosted_fixtures.replica_records(state=model.MemberState.READY)
     joining = hosted_fixtures.with_state(records[3], model.MemberState.JOINING)
     fleet = _create_fleet([*records[:3], joining])
-    planner = _create_planner()
+    planner = _create_planner(number=0)
     assert planner.tick(fleet, {}, 0.0) == []
     fleet.put(records[3])
     orders = planner.tick(fleet, {}, 0.1)
@@ -768,11 +768,11 @@
         for index in range(4)
     ]
     fleet = _create_fleet(records + spares)
-    planner = _create_planner()
+    planner = _create_planner(number=0)
     planner.tick(fleet, {}, 0.0)
     assert key in planner.formations
-    # An earlier planner may have opened the replica, although this one has
-    # sent no order to it yet.
+    # The replica may have been open, although this formation of it has sent
+    # no order yet.
     planner.formations[key].sent_orders.sent_at.clear()
     fleet.silent["r1-2"] = 0.1
     orders = []
@@ -792,7 +792,7 @@
     key = model.ReplicaKey("r1", 1)
     records = hosted_fixtures.replica_records(state=model.MemberState.READY)
     fleet = _create_fleet(records)
-    planner = _create_planner()
+    planner = _create_planner(number=0)
     planner.retirements.released["r1-0"] = key
     orders = planner.tick(fleet, {}, 0.0)
     assert [order.kind for order in orders] == [model.OrderKind.OPEN]
@@ -932,3 +932,51 @@
     assert (model.OrderKind.LEAVE, "r1-3") in [
         (order.kind, order.engine.id) for order in orders
     ]
+
+
+def test_no_late_order_of_an_earlier_planner_takes_a_member_of_a_new_replica():
+    zone = _Zone(1, domains=1, engines=8)
+    zone.run(30)
+    engines = zone.fabric.engines
+    for engine in engines.values():
+        if engine.membership is not None:
+            key = engine.membership.key
+            zone.fabric.order(
+                model.Order(model.OrderKind.LEAVE, engine.record, "", key)
+            )
+    zone.fabric.advance(zone.now)
+    members = [
+        name
+        for name, engine in engines.items()
+        if "large" in engine.record.staged
+    ][:4]
+    fence = zone.planner.next_fence
+
+    def join(name, key, names):
+        return model.Order(
+            model.OrderKind.JOIN, engines[name].record, "", key, "large", names
+        )
+
+    ready = model.ReplicaKey("ready", fence)
+    for name in members:
+        zone.fabric.order(join(name, ready, tuple(members)))
+    late = model.ReplicaKey("late", fence + 1)
+    late_order = join(members[1], late, (members[1], "x", "y", "z"))
+    zone.fabric.delayed_orders.append((zone.now + 5.5, late_order))
+    for _ in range(20):
+        zone.now += 0.1
+        zone.fabric.advance(zone.now)
+    zone.replace_planner()
+    zone.fleet.replace(zone.fabric.rows(), zone.now)
+    zone.run(6)
+    assert zone.fabric.serving("large") >= 1
+
+
+def test_replica_that_an_earlier_planner_did_not_open_is_retired():
+    records = hosted_fixtures.replica_records(state=model.MemberState.READY)
+    fleet = _create_fleet(records)
+    planner = _create_planner()
+    orders = planner.tick(fleet, {}, 0.0)
+    assert [(order.kind, order.engine.id) for order in orders] == [
+        (model.OrderKind.LEAVE, "r1-0")
+    ]
