--- a/tamarackpier/traffic/selection.py
+++ b/tamarackpier/traffic/selection.py
@@ -37,8 +37,8 @@
 # Largest random share that is added to a cost, so that instances with the same
 # view choose differently.
 _JITTER = 0.15
-# Number of upstreams that are compared for a request, and how many of them are
-# in the instance's own zone if that has so many.
+# Maximum number of upstreams that are compared for a request, and of those in
+# the instance's own zone. All are of one zone if there is only one.
 _CHOICES = 3
 _NEAR_CHOICES = 2
 # Ratio to the lowest cost above which an upstream isn't drawn.
