Let no older report take back the weights of a row

Engines that had just loaded weights were asked before they joined. While rows are reliable an answer now decides the place in a replica only.

The test failed before.

--- a/tamarackpier/fleet/fleet_view.py
+++ b/tamarackpier/fleet/fleet_view.py
@@ -188,6 +188,8 @@
     def observe(self, report: model.EngineReport, at: float) -> None:
         """Applies an engine's report, unless it is of another incarnation.
 
+        Reports are some 100 ms old, so the weights in a reliable row are newer.
+
         Args:
             report: Answer of the engine.
             at: Time of the answer, in seconds on the monotonic clock; an
@@ -203,12 +205,12 @@
         elif at < observation.observed_at:
             return
         observation.observed_at = at
-        self.engines[report.id] = dataclasses.replace(
-            engine,
-            model=report.model,
-            staged=report.staged,
-            membership=report.membership,
-        )
+        engine = dataclasses.replace(engine, membership=report.membership)
+        if self.may_be_stale(at):
+            engine = dataclasses.replace(
+                engine, model=report.model, staged=report.staged
+            )
+        self.engines[report.id] = engine
         self._invalidate_caches()
 
     def record_answer(
@@ -235,7 +237,10 @@
             self.observe(report, asked_at)
 
     def has_answered_free(
-        self, engine_id: str, since: float, now: float
+        self,
+        engine_id: str,
+        since: float,
+        now: float,
     ) -> bool:
         """Returns whether an engine has just said that it is in no replica.
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -353,6 +353,15 @@
         assert loads == [(model.OrderKind.STAGE, "small")] * load_count
 
 
+def test_answer_does_not_take_back_the_weights_of_a_newer_row():
+    blank = hosted_fixtures.record("e1")
+    fleet = _create_fleet([blank])
+    staged = dataclasses.replace(blank, staged=("large",))
+    fleet.put(staged)
+    fleet.record_answer(_create_report(blank), 1.0, staged)
+    assert fleet.engines["e1"].staged == ("large",)
+
+
 def test_lead_is_opened_only_after_every_member_is_ready():
     records = hosted_fixtures.replica_records(state=model.MemberState.READY)
     joining = hosted_fixtures.with_state(records[3], model.MemberState.JOINING)
