Pack the fabric domains together instead of each greedily

Each zone's planner formed whatever replica fit as soon as enough engines were free, loaded the weights of the narrow model onto all spares of a domain, and let the 3 survivors of a replica of 4 wait for ever; the split of the engines followed the number of replicas and not the load.

Now all domains of a service are packed in one pure function, which every planner computes for all zones and carries out for its own: short models first, then replicas most of whose engines are left, then the model with the fewest engines for its share of the load; best fit, with spares kept and given the weights whose loss would leave most engines idle. Before the first request, when loads are quick and unlimited, engines load what they will need as soon as they appear, in the knowledge of those still to come. Engines of a wide replica whose answers don't all come within the time for which an answer counts are asked once more by the formation, so that a wide replica is formed at slow instances too.

--- a/tamarackpier/fleet/demand.py
+++ b/tamarackpier/fleet/demand.py
@@ -15,7 +15,13 @@
 # Minimum number of replicas over all models, also if no request has run; each
 # model needs its share of it.
 _MIN_REPLICAS = 4.0
+# Lower bounds that keep ratios finite, for a model with a share of 0.
+_LEAST_NEEDED = 0.1
+_LEAST_SHARE = 0.01
 _PEAK_HALF_LIFE_S = 10.0
+# Time from the first request after which the load is known well enough to
+# divide the engines by it alone.
+_LOAD_KNOWN_S = 10.0
 
 
 class Demand:
@@ -31,6 +37,7 @@
         self.spec = spec
         self.peaks: dict[str, float] = {}
         self._updated_at = now
+        self._first_request_at: float | None = None
 
     @property
     def is_before_first_request(self) -> bool:
@@ -51,14 +58,39 @@
             self.peaks[model_spec.name] = max(
                 decayed, running.get(model_spec.name, 0)
             )
+        if self._first_request_at is None and not self.is_before_first_request:
+            self._first_request_at = now
 
-    def coverage(
-        self, model_spec: routing_model.ModelSpec, count: int
-    ) -> float:
-        """Returns the ratio of a replica count to the count the load needs."""
+    def needed(self, model_spec: routing_model.ModelSpec) -> float:
+        """Returns the number of replicas that a model's load needs."""
         peak = self.peaks.get(model_spec.name, 0.0)
-        needed = max(
+        return max(
             _MIN_REPLICAS * model_spec.share,
             _HEADROOM * peak / max(1, self.spec.slots),
+            _LEAST_NEEDED,
         )
-        return count / needed
+
+    def engine_shares(self) -> dict[str, float]:
+        """Returns the share of the engines that each model's load calls for.
+
+        The shares of the specification hold before the first request, and those
+        of the observed load `_LOAD_KNOWN_S` later; in between, both count.
+        """
+        engines = {
+            spec.name: self.needed(spec) * spec.span
+            for spec in self.spec.models
+        }
+        total = sum(engines.values())
+        total_share = sum(spec.share for spec in self.spec.models)
+        known = 0.0
+        if self._first_request_at is not None:
+            known_s = self._updated_at - self._first_request_at
+            known = min(1.0, known_s / _LOAD_KNOWN_S)
+        return {
+            spec.name: max(
+                _LEAST_SHARE,
+                known * engines[spec.name] / total
+                + (1 - known) * spec.share / max(total_share, _LEAST_SHARE),
+            )
+            for spec in self.spec.models
+        }
--- a/tamarackpier/fleet/fleet_view.py
+++ b/tamarackpier/fleet/fleet_view.py
@@ -241,6 +241,7 @@
         engine_id: str,
         since: float,
         now: float,
+        max_age_s: float = ANSWER_FRESH_S,
     ) -> bool:
         """Returns whether an engine has just said that it is in no replica.
 
@@ -253,13 +254,14 @@
             since: Time after which it must have been asked, in seconds on the
                 monotonic clock.
             now: Current time, in seconds on the monotonic clock.
+            max_age_s: Age from which the answer no longer counts, in seconds.
         """
         answer = self.answers.get(engine_id)
         return (
             answer is not None
             and answer.membership is None
             and answer.asked_at > since
-            and now - answer.asked_at < ANSWER_FRESH_S
+            and now - answer.asked_at < max_age_s
         )
 
     def engines_newer_than_rows(self) -> list[tuple[model.EngineRecord, float]]:
--- a/tamarackpier/fleet/formation.py
+++ b/tamarackpier/fleet/formation.py
@@ -1,6 +1,7 @@
 """Formation of a replica: its members join, then its lead opens."""
 
 import dataclasses
+import math
 
 from tamarackpier.fleet import fleet_view, model
 from tamarackpier.fleet import sent_orders as sent_orders_lib
@@ -20,7 +21,8 @@
         incarnations: Incarnations of the members when they were chosen.
         started_at: Start of the formation, in seconds on the monotonic clock.
         timeout_s: Maximum duration of the formation, in seconds.
-        load_count: Number of members that have to load weights.
+        asked_since: Time after which the members must have been asked whether
+            they are free, in seconds on the monotonic clock.
         joined: IDs of the members that have accepted their order to join.
         sent_orders: Orders sent for this formation.
         unconfirmed: IDs of the members that have to say that they are in no
@@ -33,7 +35,7 @@
     incarnations: tuple[int, ...]
     started_at: float
     timeout_s: float
-    load_count: int = 0
+    asked_since: float = -math.inf
     joined: set[str] = dataclasses.field(default_factory=set)
     sent_orders: sent_orders_lib.SentOrders = dataclasses.field(
         default_factory=sent_orders_lib.SentOrders
@@ -85,14 +87,15 @@
     def _take_join_if_due(
         self, order: model.Order, fleet: fleet_view.FleetView, now: float
     ) -> list[model.Order]:
-        """Returns an order to join if it is due.
+        """Returns an order to join if it is due, and the engine is free.
 
-        The engine may have joined another replica since an earlier order to
-        join, which was not answered.
+        The engine may have joined another replica since it was chosen, or since
+        an earlier order to join, which was not answered. So it is asked again.
         """
         engine_id = order.engine.id
         sent_at = self.sent_orders.last_sent_at(engine_id, order.kind)
-        if sent_at is None or fleet.has_answered_free(engine_id, sent_at, now):
+        since = self.asked_since if sent_at is None else sent_at
+        if fleet.has_answered_free(engine_id, since, now):
             return self.sent_orders.take_if_due(order, now)
         if self.sent_orders.is_due(order, now):
             self.unconfirmed.add(engine_id)
--- /dev/null
+++ b/tamarackpier/fleet/packing.py
@@ -0,0 +1,326 @@
+"""Decides which replicas the free engines of all fabric domains should form.
+
+All planners of a service pack the same rows in the same way, each for all
+availability zones, and act on their own zone. So a model that lacks one replica
+gets one, and not one in each zone.
+
+Models that are short of replicas come first, then replicas of which most
+engines are left, then the model with the fewest engines for its load. It gets
+the domain in which the fewest engines have to load weights; among equals the
+one with the least room, so that room for the widest model is kept (best fit).
+Domains keep some engines as spares, since a wide replica that loses a member
+leaves all others idle until another engine holds its weights.
+"""
+
+import collections
+import dataclasses
+import math
+from collections.abc import Iterable, Mapping, Sequence
+
+from tamarackpier.routing import model as routing_model
+
+__all__ = [
+    "ENGINES_PER_SPARE",
+    "Domain",
+    "Need",
+    "Placement",
+    "place",
+    "spare_weights",
+]
+
+# Engines of a domain for each that it keeps as a spare, and the least number of
+# spares of a domain.
+ENGINES_PER_SPARE = 16
+_MIN_SPARES = 2
+# Spares of a model with a replica in their domain that keep its weights while
+# another model is short of replicas.
+_KEPT_SPARES = 2
+# Coverage below which a model gets idle engines that hold other weights. A load
+# takes longer than the load takes to rise, so it starts before the model is
+# short.
+_RELOAD_COVERAGE = 1.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Need:
+    """What a model has and needs, over all availability zones.
+
+    Attributes:
+        spec: The model.
+        engine_share: Share of the engines that its load calls for.
+        needed: Number of replicas that its load needs.
+        replicas: Number of replicas that it has or that are being formed.
+    """
+
+    spec: routing_model.ModelSpec
+    engine_share: float
+    needed: float
+    replicas: int
+
+    @property
+    def coverage(self) -> float:
+        """Ratio of the replicas to those that the load needs."""
+        return self.replicas / self.needed
+
+    @property
+    def balance(self) -> float:
+        """Ratio of the engines to the share that the load calls for."""
+        return self.replicas * self.spec.span / self.engine_share
+
+
+@dataclasses.dataclass
+class Domain:
+    """Engines of a fabric domain.
+
+    Attributes:
+        name: Name of the domain.
+        zone: Availability zone.
+        in_replicas: Number of engines in replicas, by model.
+        holders: Number of free engines that hold or load weights, by model.
+        blank: Number of free engines without weights.
+        expected: Number of engines that have yet to appear.
+    """
+
+    name: str
+    zone: str
+    in_replicas: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    holders: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    blank: int = 0
+    expected: int = 0
+
+    @property
+    def free(self) -> int:
+        """Number of engines in no replica, expected ones included."""
+        return self.holders.total() + self.blank + self.expected
+
+    @property
+    def size(self) -> int:
+        """Number of all engines, expected ones included."""
+        return self.free + self.in_replicas.total()
+
+    @property
+    def is_blank(self) -> bool:
+        """Whether no engine is in a replica, or holds or loads weights."""
+        return self.size == self.blank + self.expected
+
+    @property
+    def reserve(self) -> int:
+        """Number of free engines to keep as spares."""
+        return max(_MIN_SPARES, math.ceil(self.size / ENGINES_PER_SPARE))
+
+
+@dataclasses.dataclass(frozen=True)
+class Placement:
+    """A replica that the free engines of a domain should form.
+
+    Attributes:
+        zone: Availability zone of the domain.
+        domain: Name of the domain.
+        model: Name of the model.
+        held: Number of free engines that hold or load its weights already.
+        loads: Number of engines that have to load them.
+        reloads: Number of the latter that hold weights of other models.
+    """
+
+    zone: str
+    domain: str
+    model: str
+    held: int
+    loads: int
+    reloads: int
+
+
+def place(
+    domains: Iterable[Domain], needs: Sequence[Need]
+) -> tuple[list[Placement], list[Domain]]:
+    """Returns the replicas to form, in order, and the domains with them.
+
+    Args:
+        domains: All domains of the service.
+        needs: All models of the service.
+
+    Returns:
+        The placements, and copies of the domains in which the engines of the
+        placements count as engines in replicas.
+    """
+    packed = {(domain.zone, domain.name): _copy(domain) for domain in domains}
+    remaining = {need.spec.name: need for need in needs}
+    placements: list[Placement] = []
+    while True:
+        placement = _next_placement(packed.values(), remaining)
+        if placement is None:
+            return placements, list(packed.values())
+        placements.append(placement)
+        _occupy(packed[placement.zone, placement.domain], placement, remaining)
+        need = remaining[placement.model]
+        remaining[placement.model] = dataclasses.replace(
+            need, replicas=need.replicas + 1
+        )
+
+
+def spare_weights(
+    domain: Domain, spans: Mapping[str, int], count: int
+) -> list[str]:
+    """Returns the models whose weights a domain's blank engines should load.
+
+    A spare replaces a member of a replica. What it saves grows with the
+    members that may fail, and with those that would be idle then.
+
+    Args:
+        domain: The domain.
+        spans: Number of engines in a replica, by model.
+        count: Number of blank engines.
+    """
+    spares = collections.Counter(domain.holders)
+    weights: list[str] = []
+    models = [name for name in domain.in_replicas if name in spans]
+    while models and len(weights) < count:
+        name = max(
+            models,
+            key=lambda name: (
+                domain.in_replicas[name] * spans[name] / (1 + spares[name]),
+                name,
+            ),
+        )
+        spares[name] += 1
+        weights.append(name)
+    return weights
+
+
+def _next_placement(
+    domains: Iterable[Domain], needs: Mapping[str, Need]
+) -> Placement | None:
+    """Returns the next replica to form; None if none can or should be."""
+    by_balance = sorted(
+        needs.values(),
+        key=lambda need: (need.coverage >= 1, need.balance, -need.spec.span),
+    )
+    candidates = []
+    for rank, need in enumerate(by_balance):
+        candidates += [
+            (
+                need.coverage >= 1 and not _is_rebuilt(placement),
+                rank,
+                *_preference(domain, placement),
+                placement,
+            )
+            for domain in domains
+            if (placement := _placement(domain, need, needs)) is not None
+        ]
+    if not candidates:
+        return None
+    return min(candidates, key=lambda candidate: candidate[:-1])[-1]
+
+
+def _is_rebuilt(placement: Placement) -> bool:
+    """Returns whether most engines hold the weights already.
+
+    They are idle until the replica is complete, and of no use as spares.
+    """
+    return 2 * placement.held > placement.held + placement.loads
+
+
+def _preference(
+    domain: Domain, placement: Placement
+) -> tuple[bool, int, int, str, str]:
+    """Returns the sort key of a placement; the lowest is preferred."""
+    return (
+        not _leaves_spares(domain, placement),
+        placement.loads,
+        domain.free,
+        domain.zone,
+        domain.name,
+    )
+
+
+def _leaves_spares(domain: Domain, placement: Placement) -> bool:
+    """Returns whether a placement takes no spares that its domain keeps.
+
+    The first replica of a domain may take them, and one that is rebuilt.
+    """
+    span = placement.held + placement.loads
+    return (
+        not domain.in_replicas.total()
+        or domain.free - span >= domain.reserve
+        or _is_rebuilt(placement)
+    )
+
+
+def _placement(
+    domain: Domain, need: Need, needs: Mapping[str, Need]
+) -> Placement | None:
+    """Returns the placement of a replica in a domain; None if it has no place.
+
+    Only a model that is short may take the spares of a domain.
+    """
+    spec = need.spec
+    if domain.free < spec.span:
+        return None
+    held = min(spec.span, domain.holders[spec.name])
+    loads = spec.span - held
+    reloads = max(0, loads - domain.blank - domain.expected)
+    if reloads and reloads > sum(
+        _reloadable(domain, need, needs, name) for name in domain.holders
+    ):
+        return None
+    placement = Placement(
+        domain.zone, domain.name, spec.name, held, loads, reloads
+    )
+    if need.coverage < 1 or _leaves_spares(domain, placement):
+        return placement
+    return None
+
+
+def _reloadable(
+    domain: Domain, need: Need, needs: Mapping[str, Need], holder: str
+) -> int:
+    """Returns how many holders of another model may load a model's weights.
+
+    Args:
+        domain: The domain.
+        need: The model to load.
+        needs: All models.
+        holder: Name of the model whose weights they hold.
+    """
+    if holder == need.spec.name:
+        return 0
+    other = needs.get(holder)
+    if other is None:
+        return domain.holders[holder]
+    if need.coverage >= _RELOAD_COVERAGE or need.coverage > other.coverage:
+        return 0
+    has_most = 2 * domain.holders[need.spec.name] > need.spec.span
+    if need.coverage == other.coverage and not has_most:
+        return 0
+    kept = _KEPT_SPARES if domain.in_replicas[holder] else 0
+    return max(0, domain.holders[holder] - kept)
+
+
+def _occupy(
+    domain: Domain, placement: Placement, needs: Mapping[str, Need]
+) -> None:
+    """Counts the engines of a placement as engines in a replica."""
+    need = needs[placement.model]
+    domain.holders[placement.model] -= placement.held
+    left = placement.loads - placement.reloads
+    taken = min(left, domain.blank)
+    domain.blank -= taken
+    domain.expected -= left - taken
+    left = placement.reloads
+    for name in sorted(domain.holders, key=lambda name: -domain.holders[name]):
+        taken = min(left, _reloadable(domain, need, needs, name))
+        domain.holders[name] -= taken
+        left -= taken
+    domain.in_replicas[placement.model] += need.spec.span
+
+
+def _copy(domain: Domain) -> Domain:
+    return dataclasses.replace(
+        domain,
+        in_replicas=collections.Counter(domain.in_replicas),
+        holders=collections.Counter(domain.holders),
+    )
--- a/tamarackpier/fleet/zone_planner.py
+++ b/tamarackpier/fleet/zone_planner.py
@@ -8,18 +8,33 @@
 
 import collections
 import math
-from collections.abc import Mapping
-
-from tamarackpier.fleet import demand, fleet_view, model, retirement, staging
+from collections.abc import Iterable, Mapping, Sequence
+
+from tamarackpier.fleet import (
+    demand,
+    fleet_view,
+    model,
+    packing,
+    retirement,
+    staging,
+)
 from tamarackpier.fleet import formation as formation_lib
 from tamarackpier.routing import model as routing_model
 
 __all__ = ["ZonePlanner"]
 
-# Free engines that a domain keeps while the load is covered.
-_RESERVED_ENGINES = 2
-# Time that a formation may take beyond the join and load times of its model.
+# Time that a formation may take beyond the join time of its model.
 _JOIN_SLACK_S = 3.0
+# Age from which an engine's answer that it is in no replica doesn't let it be
+# chosen any more. The engines of a wide replica don't all answer at the same
+# time; if some answers are too old for an order to join, all are asked again.
+_CHOICE_FRESH_S = 1.5
+# Time without a new engine after which the engines of a deployment that starts
+# count as complete.
+_SETTLE_S = 1.0
+# Time from the first engine to the first load, in which all planners learn of
+# the first engines of all zones.
+_FIRST_LOAD_DELAY_S = 0.3
 
 # Refusals of an order for a reason other than the engine's present state.
 _REFUSAL_OUTCOMES = (
@@ -70,8 +85,13 @@
         self.demand = demand.Demand(spec, now)
         self._replicas: Mapping[model.ReplicaKey, model.Replica] = {}
         self._free: Mapping[str, list[model.EngineRecord]] = {}
-        # Whether unconfirmed engines would load weights when they join.
-        self._awaits_loads = False
+        self._started_at = now
+        # Whether no request has run since the engines started, without weights;
+        # None before the first engine is known.
+        self._is_deployment_starting: bool | None = None
+        self._known_count = 0
+        # Time at which an engine last appeared.
+        self._grown_at = now
 
     def reconfigure(
         self, spec: routing_model.EngineSpec, planner_count: int
@@ -101,7 +121,6 @@
         replicas = self._zone_replicas(fleet)
         self._replicas = replicas
         self.unconfirmed = set()
-        self._awaits_loads = False
         self.retirements.prune(replicas)
         for replica in replicas.values():
             self._review(replica, fleet, now)
@@ -109,17 +128,22 @@
         for formation in list(self.formations.values()):
             orders += self._advance(formation, fleet, now)
         free = self._free_engines(fleet, now)
-        self._free = free
-        for domain in sorted(free):
-            orders += self._form_replicas(free[domain], fleet, now)
+        self._free = {domain: list(engines) for domain, engines in free.items()}
         self.staging.prune(fleet, now)
-        if not (self._awaits_loads or self._is_any_formation_loading()):
+        domains = self._domains(free, fleet, now)
+        self._update_phase(domains, now)
+        placements, packed = packing.place(domains, self._needs(fleet))
+        loads: list[staging.PlannedLoad] = []
+        for placement in placements:
+            if placement.zone == self.zone:
+                orders += self._fill(
+                    placement, free[placement.domain], loads, fleet, now
+                )
+        loads += self._spare_loads(free, packed)
+        is_early = now - self._started_at < _FIRST_LOAD_DELAY_S
+        if not (self._is_deployment_starting and is_early):
             orders += self.staging.orders(
-                free,
-                self._engines_in_replicas(replicas, fleet),
-                self._models_by_coverage(fleet),
-                self._short_models(fleet),
-                now,
+                loads, self._is_deployment_starting, now
             )
         return orders
 
@@ -320,58 +344,250 @@
                 free[engine.domain].append(engine)
         return free
 
-    def _form_replicas(
+    def _domains(
         self,
+        free: Mapping[str, list[model.EngineRecord]],
+        fleet: fleet_view.FleetView,
+        now: float,
+    ) -> list[packing.Domain]:
+        """Returns the domains of the service in all availability zones.
+
+        Args:
+            free: Engines of this zone that may join a replica, by domain.
+            fleet: View of the engines.
+            now: Current time, in seconds on the monotonic clock.
+        """
+        forming = {
+            engine_id: formation.spec.name
+            for formation in self.formations.values()
+            for engine_id in formation.members
+        }
+        free_ids = {
+            engine.id for engines in free.values() for engine in engines
+        }
+        domains: dict[tuple[str, str], packing.Domain] = {}
+        for engine in fleet.engines.values():
+            if engine.service != self.service or not engine.domain:
+                continue
+            if engine.is_leaving or engine.id in fleet.silent:
+                continue
+            key = (engine.availability_zone, engine.domain)
+            domain = domains.get(key)
+            if domain is None:
+                domain = packing.Domain(engine.domain, engine.availability_zone)
+                domains[key] = domain
+            is_own = engine.availability_zone == self.zone
+            if engine.id in forming:
+                domain.in_replicas[forming[engine.id]] += 1
+            elif engine.id in free_ids or (
+                not is_own and engine.membership is None
+            ):
+                name = self.staging.model_of(engine)
+                if name:
+                    domain.holders[name] += 1
+                else:
+                    domain.blank += 1
+            elif engine.membership is not None:
+                domain.in_replicas[engine.model] += 1
+        return list(domains.values())
+
+    def _update_phase(
+        self, domains: Sequence[packing.Domain], now: float
+    ) -> None:
+        """Notes whether the deployment starts, and expects its engines then.
+
+        It starts if the first engines that this planner has seen held no
+        weights, and no request has run since. Having heard of no request alone
+        says little, as the planner may be cut off from its peers.
+        """
+        count = sum(domain.size for domain in domains)
+        if count > self._known_count:
+            self._grown_at = now
+        self._known_count = count
+        own = [domain for domain in domains if domain.zone == self.zone]
+        if self._is_deployment_starting is None and own:
+            self._is_deployment_starting = all(
+                domain.is_blank for domain in own
+            )
+        if not self.demand.is_before_first_request:
+            self._is_deployment_starting = False
+        if self._is_deployment_starting and now - self._grown_at < _SETTLE_S:
+            self._expect_engines(domains)
+
+    def _expect_engines(self, domains: Sequence[packing.Domain]) -> None:
+        """Adds the engines that domains lack to the largest one's size.
+
+        Engines of a deployment that starts appear one by one. Domains count as
+        large as the widest replica with its spares at least.
+        """
+        widest = max((spec.span for spec in self.spec.models), default=0)
+        full = widest + math.ceil(widest / packing.ENGINES_PER_SPARE)
+        largest = max((domain.size for domain in domains), default=0)
+        for domain in domains:
+            domain.expected = max(full, largest) - domain.size
+
+    def _needs(self, fleet: fleet_view.FleetView) -> list[packing.Need]:
+        """Returns what each model has and needs."""
+        counts = self._replica_counts(fleet)
+        shares = self.demand.engine_shares()
+        return [
+            packing.Need(
+                spec,
+                shares[spec.name],
+                self.demand.needed(spec),
+                counts[spec.name],
+            )
+            for spec in self.spec.models
+        ]
+
+    def _replica_counts(
+        self, fleet: fleet_view.FleetView
+    ) -> collections.Counter[str]:
+        """Returns the number of replicas of each model in all zones.
+
+        Includes those that this or another planner forms, but not suspended or
+        retiring ones.
+        """
+        counts = collections.Counter(
+            formation.spec.name for formation in self.formations.values()
+        )
+        for key, replica in fleet.replicas().items():
+            lead = replica.members[0][1]
+            if lead.service != self.service or key in self.formations:
+                continue
+            if self.needs_no_check(key) or key in fleet.suspended:
+                continue
+            is_forming_elsewhere = (
+                lead.availability_zone != self.zone
+                and replica.is_complete
+                and replica.lead_state is model.MemberState.JOINING
+            )
+            if replica.is_stable or is_forming_elsewhere:
+                counts[replica.model] += 1
+        return counts
+
+    def _fill(
+        self,
+        placement: packing.Placement,
         free: list[model.EngineRecord],
+        loads: list[staging.PlannedLoad],
         fleet: fleet_view.FleetView,
         now: float,
     ) -> list[model.Order]:
-        """Starts formations from the free engines of a domain.
+        """Starts the formation of a placement, or plans the loads for it.
 
         The chosen engines are asked first whether they are free.
 
         Args:
+            placement: A placement in a domain of this zone.
             free: Free engines of the domain; those chosen are removed.
+            loads: Loads that are planned; those of the placement are added.
             fleet: View of the engines.
             now: Current time, in seconds on the monotonic clock.
 
         Returns:
-            The orders to send for the formations.
+            The orders to send for the formation.
         """
-        orders: list[model.Order] = []
-        while True:
-            choice = self._choose(free, fleet)
-            if choice is None:
-                return orders
-            spec, engines, load_count = choice
-            for engine in engines:
-                free.remove(engine)
-            unconfirmed_ids = {
-                engine.id
-                for engine in engines
-                if not fleet.has_answered_free(engine.id, -math.inf, now)
-            }
-            if unconfirmed_ids:
-                self.unconfirmed |= unconfirmed_ids
-                self._awaits_loads |= load_count > 0
-                return orders
-            formation = self._start_formation(spec, engines, load_count, now)
-            for engine in engines:
-                self.staging.loading.pop(engine.id, None)
-            orders += self._advance(formation, fleet, now)
+        spec = self.spec.model(placement.model)
+        if spec is None:
+            return []
+        engines = self._choose(placement, free)
+        for engine in engines:
+            free.remove(engine)
+        missing = [
+            engine
+            for engine in engines
+            if self.staging.model_of(engine) != spec.name
+        ]
+        loads += [(engine, spec.name) for engine in missing]
+        is_staged = all(
+            spec.name in engine.staged and engine.id not in self.staging.loading
+            for engine in engines
+        )
+        if len(engines) < spec.span or not is_staged:
+            return []
+        if not all(
+            fleet.has_answered_free(engine.id, -math.inf, now, _CHOICE_FRESH_S)
+            for engine in engines
+        ):
+            # All are asked, so that no answer is much older than the others.
+            self.unconfirmed |= {engine.id for engine in engines}
+            return []
+        are_fresh = all(
+            fleet.has_answered_free(engine.id, -math.inf, now)
+            for engine in engines
+        )
+        formation = self._start_formation(
+            spec, engines, -math.inf if are_fresh else now, now
+        )
+        return self._advance(formation, fleet, now)
+
+    def _choose(
+        self, placement: packing.Placement, free: list[model.EngineRecord]
+    ) -> list[model.EngineRecord]:
+        """Returns the engines of a placement, as far as they have appeared."""
+        by_weights = collections.defaultdict(list)
+        for engine in free:
+            by_weights[self.staging.model_of(engine)].append(engine)
+        holders = sorted(
+            by_weights.pop(placement.model, []),
+            key=lambda engine: (
+                engine.id in self.staging.loading,
+                _join_effort(engine, placement.model),
+                engine.id,
+            ),
+        )
+        blank = sorted(by_weights.pop("", []), key=lambda engine: engine.id)
+        loading_count = placement.loads - placement.reloads
+        others = [
+            engine
+            for _, engines in sorted(
+                by_weights.items(), key=lambda item: -len(item[1])
+            )
+            for engine in sorted(engines, key=lambda engine: engine.id)
+            if engine.id not in self.staging.loading
+        ]
+        return (
+            holders[: placement.held]
+            + blank[:loading_count]
+            + others[: placement.reloads]
+        )
+
+    def _spare_loads(
+        self,
+        free: Mapping[str, list[model.EngineRecord]],
+        packed: Iterable[packing.Domain],
+    ) -> list[staging.PlannedLoad]:
+        """Returns the loads of the engines that remain as spares.
+
+        Args:
+            free: Engines of this zone in no placement, by domain.
+            packed: Domains of all zones, with the placements.
+        """
+        spans = {spec.name: spec.span for spec in self.spec.models}
+        loads: list[staging.PlannedLoad] = []
+        for domain in packed:
+            if domain.zone != self.zone:
+                continue
+            blank = sorted(
+                (
+                    engine
+                    for engine in free.get(domain.name, ())
+                    if not self.staging.model_of(engine)
+                ),
+                key=lambda engine: engine.id,
+            )
+            weights = packing.spare_weights(domain, spans, len(blank))
+            loads += zip(blank, weights, strict=False)
+        return loads
 
     def _start_formation(
         self,
         spec: routing_model.ModelSpec,
         engines: list[model.EngineRecord],
-        load_count: int,
+        asked_since: float,
         now: float,
     ) -> formation_lib.Formation:
-        timeout_s = _JOIN_SLACK_S + spec.warm_s
-        if load_count:
-            concurrent_loads = self.staging.planner_count * spec.span
-            timeout_s += spec.load_s * self.staging.slowdown(concurrent_loads)
-        self.staging.tokens -= load_count
         key = model.ReplicaKey(
             f"{self.zone}-{self.holder}-{self.next_fence}", self.next_fence
         )
@@ -382,107 +598,12 @@
             tuple(engine.id for engine in engines),
             tuple(engine.incarnation for engine in engines),
             now,
-            timeout_s,
-            load_count,
+            _JOIN_SLACK_S + spec.warm_s,
+            asked_since,
         )
         self.formations[key] = formation
         return formation
 
-    def _choose(
-        self, free: list[model.EngineRecord], fleet: fleet_view.FleetView
-    ) -> tuple[routing_model.ModelSpec, list[model.EngineRecord], int] | None:
-        """Chooses the next replica to form in a domain.
-
-        Engines without weights join only before the first requests, when loads
-        are quick and no other formation of this zone is loading weights.
-
-        Returns:
-            The model, the engines, and the number of engines that have to load
-            weights; None if no replica can or need be formed.
-        """
-        is_cold = (
-            self.demand.is_before_first_request
-            and not any(self.staging.model_of(engine) for engine in free)
-            and not self._is_any_formation_loading()
-        )
-        for spec in self._models_by_coverage(fleet):
-            engines = sorted(
-                free,
-                key=lambda engine: (_join_effort(engine, spec.name), engine.id),
-            )[: spec.span]
-            if len(engines) < spec.span:
-                continue
-            is_short = self._coverage(spec, fleet) < 1
-            if len(free) - spec.span < _RESERVED_ENGINES and not is_short:
-                continue
-            load_count = sum(
-                1 for engine in engines if spec.name not in engine.staged
-            )
-            if not load_count or is_cold:
-                return spec, engines, load_count
-        return None
-
-    def _coverage(
-        self, spec: routing_model.ModelSpec, fleet: fleet_view.FleetView
-    ) -> float:
-        """Returns the ratio of a model's replicas to those its load needs."""
-        count = sum(
-            1
-            for key, replica in fleet.replicas().items()
-            if replica.model == spec.name
-            and replica.is_stable
-            and key not in self.retirements.active
-            and key not in self.formations
-            and key not in fleet.suspended
-        )
-        count += sum(
-            1
-            for formation in self.formations.values()
-            if formation.spec.name == spec.name
-        )
-        return self.demand.coverage(spec, count)
-
-    def _models_by_coverage(
-        self, fleet: fleet_view.FleetView
-    ) -> list[routing_model.ModelSpec]:
-        """Returns the models in order of coverage, lowest first."""
-        return sorted(
-            self.spec.models,
-            key=lambda spec: (self._coverage(spec, fleet), -spec.share),
-        )
-
-    def _short_models(self, fleet: fleet_view.FleetView) -> set[str]:
-        """Returns the names of the models with too few replicas."""
-        return {
-            spec.name
-            for spec in self.spec.models
-            if self._coverage(spec, fleet) < 1
-        }
-
-    def _engines_in_replicas(
-        self,
-        replicas: Mapping[model.ReplicaKey, model.Replica],
-        fleet: fleet_view.FleetView,
-    ) -> dict[str, dict[str, int]]:
-        """Returns the number of engines in replicas, by domain and model."""
-        counts: dict[str, collections.Counter[str]] = collections.defaultdict(
-            collections.Counter
-        )
-        for replica in replicas.values():
-            domain = replica.members[0][1].domain
-            counts[domain][replica.model] += len(replica.members)
-        for formation in self.formations.values():
-            lead = fleet.engines.get(formation.members[0])
-            if lead is not None:
-                counts[lead.domain][formation.spec.name] += formation.spec.span
-        return {domain: dict(by_model) for domain, by_model in counts.items()}
-
-    def _is_any_formation_loading(self) -> bool:
-        """Returns whether members of a formation have to load weights."""
-        return any(
-            formation.load_count for formation in self.formations.values()
-        )
-
 
 def _are_all_released(
     retirements: retirement.Retirements, replica: model.Replica
--- a/tamarackpier/standin/fabric.py
+++ b/tamarackpier/standin/fabric.py
@@ -86,6 +86,8 @@
         delayed_orders: Orders that are carried out later, each in a pair that
             begins with the time at which it is due.
         load_starts: Times at which loads from the weight store began.
+        load_factor: Factor on the times of loads; they are quicker before the
+            first request of a deployment.
     """
 
     def __init__(self, spec: routing_model.EngineSpec) -> None:
@@ -95,6 +97,7 @@
         self.ready_engines: dict[model.ReplicaKey, set[str]] = {}
         self.delayed_orders: list[tuple[float, model.Order]] = []
         self.load_starts: list[float] = []
+        self.load_factor = 1.0
 
     def add(self, name: str, service: str, zone: str, domain: str) -> None:
         """Adds an engine without a model or a replica."""
@@ -245,7 +248,8 @@
         if model_spec is None or engine.loading is not None:
             return model.OrderOutcome.NOT_NOW
         self.load_starts.append(self.now)
-        engine.loading = (model_name, self.now + model_spec.load_s)
+        load_s = model_spec.load_s * self.load_factor
+        engine.loading = (model_name, self.now + load_s)
         return model.OrderOutcome.ACCEPTED
 
     def _join(
@@ -264,7 +268,7 @@
         if engine.record.model == order.model:
             join_s = _REJOIN_S
         elif order.model not in engine.record.staged:
-            join_s = model_spec.load_s
+            join_s = model_spec.load_s * self.load_factor
             self.load_starts.append(self.now)
         engine.highest_fence = key.fence
         engine.members = order.members
