Let free rebuilds precede loads, and keep spares of both models

What needs no load comes first now, unless a model has no replica at all, and spares follow the members that may fail, at least one of each model. Planners of a deployment that starts wait until engines stop to appear, since planners that saw different engines packed them differently, and loaded weights kept it so.

--- a/tamarackpier/fleet/packing.py
+++ b/tamarackpier/fleet/packing.py
@@ -4,10 +4,10 @@
 availability zones, and act on their own zone. So a model that lacks one replica
 gets one, and not one in each zone.
 
-Models that are short of replicas come first, then replicas of which most
-engines are left, then the model with the fewest engines for its load. It gets
-the domain in which the fewest engines have to load weights; among equals the
-one with the least room, so that room for the widest model is kept (best fit).
+Among equally urgent replicas, the model with the fewest engines for its load
+comes first. It gets the domain in which the fewest engines have to load
+weights; among equals the one with the least room, so that room for the widest
+model is kept (best fit).
 Domains keep some engines as spares, since a wide replica that loses a member
 leaves all others idle until another engine holds its weights.
 """
@@ -163,29 +163,31 @@
 
 
 def spare_weights(
-    domain: Domain, spans: Mapping[str, int], count: int
+    domain: Domain, needs: Sequence[Need], count: int
 ) -> list[str]:
     """Returns the models whose weights a domain's blank engines should load.
 
-    A spare replaces a member of a replica. What it saves grows with the
-    members that may fail, and with those that would be idle then.
+    A spare replaces a member of a replica, so there are as many spares of a
+    model, in proportion, as members that may fail.
 
     Args:
         domain: The domain.
-        spans: Number of engines in a replica, by model.
+        needs: All models.
         count: Number of blank engines.
     """
     spares = collections.Counter(domain.holders)
     weights: list[str] = []
-    models = [name for name in domain.in_replicas if name in spans]
-    while models and len(weights) < count:
-        name = max(
-            models,
-            key=lambda name: (
-                domain.in_replicas[name] * spans[name] / (1 + spares[name]),
-                name,
+    candidates = [need for need in needs if domain.in_replicas[need.spec.name]]
+    while candidates and len(weights) < count:
+        name = min(
+            candidates,
+            key=lambda need: (
+                (1 + spares[need.spec.name])
+                / domain.in_replicas[need.spec.name],
+                spares[need.spec.name],
+                need.coverage,
             ),
-        )
+        ).spec.name
         spares[name] += 1
         weights.append(name)
     return weights
@@ -195,25 +197,38 @@
     domains: Iterable[Domain], needs: Mapping[str, Need]
 ) -> Placement | None:
     """Returns the next replica to form; None if none can or should be."""
-    by_balance = sorted(
-        needs.values(),
-        key=lambda need: (need.coverage >= 1, need.balance, -need.spec.span),
-    )
-    candidates = []
-    for rank, need in enumerate(by_balance):
-        candidates += [
-            (
-                need.coverage >= 1 and not _is_rebuilt(placement),
-                rank,
-                *_preference(domain, placement),
-                placement,
-            )
-            for domain in domains
-            if (placement := _placement(domain, need, needs)) is not None
-        ]
+    candidates = [
+        (need, domain, placement)
+        for need in needs.values()
+        for domain in domains
+        if (placement := _placement(domain, need, needs)) is not None
+    ]
     if not candidates:
         return None
-    return min(candidates, key=lambda candidate: candidate[:-1])[-1]
+    _, _, placement = min(
+        candidates,
+        key=lambda candidate: (
+            _urgency(candidate[0], candidate[2]),
+            candidate[0].balance,
+            -candidate[0].spec.span,
+            _preference(candidate[1], candidate[2]),
+        ),
+    )
+    return placement
+
+
+def _urgency(need: Need, placement: Placement) -> tuple[bool, ...]:
+    """Returns the first part of a placement's sort key; the lowest is first.
+
+    A model without any replica comes first, then what needs no load, then
+    models that are short, then replicas that are rebuilt.
+    """
+    return (
+        need.replicas > 0,
+        placement.loads > 0,
+        need.coverage >= 1,
+        not _is_rebuilt(placement),
+    )
 
 
 def _is_rebuilt(placement: Placement) -> bool:
--- a/tamarackpier/fleet/zone_planner.py
+++ b/tamarackpier/fleet/zone_planner.py
@@ -32,9 +32,8 @@
 # Time without a new engine after which the engines of a deployment that starts
 # count as complete.
 _SETTLE_S = 1.0
-# Time from the first engine to the first load, in which all planners learn of
-# the first engines of all zones.
-_FIRST_LOAD_DELAY_S = 0.3
+# Longest wait of a planner for that; its own first engine may appear last.
+_MAX_SETTLE_S = 4.0
 
 # Refusals of an order for a reason other than the engine's present state.
 _REFUSAL_OUTCOMES = (
@@ -132,16 +131,16 @@
         self.staging.prune(fleet, now)
         domains = self._domains(free, fleet, now)
         self._update_phase(domains, now)
-        placements, packed = packing.place(domains, self._needs(fleet))
+        needs = self._needs(fleet)
+        placements, packed = packing.place(domains, needs)
         loads: list[staging.PlannedLoad] = []
         for placement in placements:
             if placement.zone == self.zone:
                 orders += self._fill(
                     placement, free[placement.domain], loads, fleet, now
                 )
-        loads += self._spare_loads(free, packed)
-        is_early = now - self._started_at < _FIRST_LOAD_DELAY_S
-        if not (self._is_deployment_starting and is_early):
+        loads += self._spare_loads(free, packed, needs)
+        if not self._awaits_engines(now):
             orders += self.staging.orders(
                 loads, self._is_deployment_starting, now
             )
@@ -414,6 +413,18 @@
         if self._is_deployment_starting and now - self._grown_at < _SETTLE_S:
             self._expect_engines(domains)
 
+    def _awaits_engines(self, now: float) -> bool:
+        """Returns whether to load no weights yet, as engines still appear.
+
+        Planners that see different engines would pack them differently, and
+        weights that are loaded already would keep it so.
+        """
+        return (
+            bool(self._is_deployment_starting)
+            and now - self._grown_at < _SETTLE_S
+            and now - self._started_at < _MAX_SETTLE_S
+        )
+
     def _expect_engines(self, domains: Sequence[packing.Domain]) -> None:
         """Adds the engines that domains lack to the largest one's size.
 
@@ -557,14 +568,15 @@
         self,
         free: Mapping[str, list[model.EngineRecord]],
         packed: Iterable[packing.Domain],
+        needs: Sequence[packing.Need],
     ) -> list[staging.PlannedLoad]:
         """Returns the loads of the engines that remain as spares.
 
         Args:
             free: Engines of this zone in no placement, by domain.
             packed: Domains of all zones, with the placements.
+            needs: All models.
         """
-        spans = {spec.name: spec.span for spec in self.spec.models}
         loads: list[staging.PlannedLoad] = []
         for domain in packed:
             if domain.zone != self.zone:
@@ -577,7 +589,7 @@
                 ),
                 key=lambda engine: engine.id,
             )
-            weights = packing.spare_weights(domain, spans, len(blank))
+            weights = packing.spare_weights(domain, needs, len(blank))
             loads += zip(blank, weights, strict=False)
         return loads
 
