Read the store in one place for a large fleet, and pass the configuration on

Each zone's first instance and each planner read every batch of engine rows from the store, up to 20 times a second, and every instance followed the operators' table by itself. At 23 instances that was 1369 of 1891 calls in 50 s, and a new configuration cost one call for each instance.

In a fleet of more than nine, the first instance of all reads the engine rows; the first of each zone and the planners follow it, and fall back to the store as before when it fails, stays behind or has rows that may be stale. Who is followed also passes on the configuration in force, with the same long poll; an instance whose peer vouches for it doesn't read the operators' table. A peer of an earlier build vouches for none.

--- a/tamarackpier/daemon/entry_peers.py
+++ b/tamarackpier/daemon/entry_peers.py
@@ -15,7 +15,7 @@
 from tamarackpier.platform import interfaces
 from tamarackpier.wire import entry_pb2, entry_pb2_grpc
 
-__all__ = ["EntryPeers", "EntryService"]
+__all__ = ["EntryPeers", "EntryService", "Followed"]
 
 _EXCHANGE_TIMEOUT_S = 0.4
 _FETCH_TIMEOUT_S = 1.0
@@ -35,6 +35,23 @@
 T = TypeVar("T")
 
 
+@dataclasses.dataclass(frozen=True)
+class Followed:
+    """What a peer that is followed has passed on.
+
+    Attributes:
+        changes: Changes of the engine rows.
+        configuration_version: Version of its configuration in force; 0 if it
+            passes none on, as one of an earlier build.
+        configuration: The configuration as encoded by the operator; empty if
+            this instance has it.
+    """
+
+    changes: interfaces.Changes
+    configuration_version: int
+    configuration: bytes
+
+
 class EntryService(entry_pb2_grpc.EntryServicer):
     """Serves the calls of peers.
 
@@ -86,12 +103,19 @@
         request: entry_pb2.FollowEnginesRequest,
         context: grpc.aio.ServicerContext,
     ) -> entry_pb2.FollowEnginesReply:
-        """Returns changed engine rows, after waiting for a first change."""
+        """Returns what changed at this instance, after waiting for it.
+
+        That is engine rows, and a configuration that the caller lacks.
+        """
         wait_s = min(_MAX_WAIT_S, request.wait_ms / 1e3)
-        is_waiting = self.engines.version <= request.after_version
+        is_waiting = (
+            self.engines.version <= request.after_version
+            and self.configuration.version <= request.configuration_version
+        )
         if is_waiting and not self.is_doubtful():
             await self.engines.wait_for_change(wait_s)
         changes = self.engines.changes_after(request.after_version)
+        is_newer = self.configuration.version > request.configuration_version
         return entry_pb2.FollowEnginesReply(
             version=self.engines.version,
             rows=[
@@ -105,6 +129,8 @@
             ],
             is_history_lost=changes is None,
             is_doubtful=self.is_doubtful(),
+            configuration_version=self.configuration.version,
+            configuration=self.configuration.data if is_newer else b"",
         )
 
     async def FetchConfiguration(  # noqa: N802
@@ -247,7 +273,7 @@
 
     async def follow_engines(
         self, peer_id: str, after: int, wait_s: float
-    ) -> result.Result[interfaces.Changes, codes.Fault]:
+    ) -> result.Result[Followed, codes.Fault]:
         """Fetches the engine rows that changed at a peer.
 
         Args:
@@ -261,7 +287,9 @@
             stale, or its history does not reach back to `after`.
         """
         request = entry_pb2.FollowEnginesRequest(
-            after_version=after, wait_ms=int(wait_s * 1e3)
+            after_version=after,
+            wait_ms=int(wait_s * 1e3),
+            configuration_version=self.statuses.version(),
         )
         timeout_s = wait_s + _FOLLOW_HEADROOM_S
         reply_result = await self._call(
@@ -348,7 +376,7 @@
 
 def _decode_reply(
     peer_id: str, reply: entry_pb2.FollowEnginesReply
-) -> result.Result[interfaces.Changes, codes.Fault]:
+) -> result.Result[Followed, codes.Fault]:
     if reply.is_doubtful:
         return failures.failure(
             codes.PEER_UNAVAILABLE, f"{peer_id} has old rows"
@@ -361,4 +389,10 @@
         )
         for row in reply.rows
     )
-    return result.Success(interfaces.Changes(rows, reply.version))
+    return result.Success(
+        Followed(
+            interfaces.Changes(rows, reply.version),
+            reply.configuration_version,
+            bytes(reply.configuration),
+        )
+    )
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -239,12 +239,15 @@
             self.rows,
             self.peers,
             self.roster,
-            self._must_read_store,
+            self._is_planning,
             lambda: self.engine_rows.version,
             self.statuses.newest_engines_version,
             self.metrics,
             self.clock,
         )
+        self.row_source.on_configuration = lambda data, peer_id: (
+            self.configuration.apply(data, f"peer {peer_id}")
+        )
         self.followers = (
             store_watch.TableFollower(
                 wire.Field.OPERATOR_TABLE,
@@ -273,6 +276,9 @@
                 self.clock,
             ),
         )
+        self.followers[0].is_covered = lambda: (
+            self.row_source.passes_configuration
+        )
         self.catch_up = catch_up.CatchUp(
             self.statuses,
             self.peers,
@@ -359,7 +365,10 @@
                 self.statuses,
                 self.configuration,
                 self.engine_rows,
-                lambda: self.fleet.may_be_stale(self.clock()),
+                lambda: (
+                    self.fleet.may_be_stale(self.clock())
+                    or self.followers[0].is_lost
+                ),
             ),
             self.peer_server,
         )
@@ -467,16 +476,14 @@
 
     def _apply_routing(self, routing: table.RoutingTable) -> None:
         self.relay.apply_configuration(routing)
+        self.engine_rows.notify_waiters()
         limits = routing.configuration.limits
         self.caller_listener.set_limits(
             limits.header_bytes, limits.idle_timeout_s
         )
 
-    def _must_read_store(self) -> bool:
-        """Returns whether this instance has to read the store.
-
-        It has to while it plans a zone.
-        """
+    def _is_planning(self) -> bool:
+        """Returns whether this instance plans a zone."""
         return any(
             controller.is_planning
             for controller in self.zone_controllers.values()
@@ -510,10 +517,13 @@
         self._registration = asyncio.ensure_future(self._register())
 
     def _engine_read_interval_s(self) -> float:
-        if self._must_read_store():
+        is_large = len(self.roster.others) > roster_lib.MAX_DIRECT_PEERS
+        if self._is_planning() and not is_large:
             return _PLANNER_READ_INTERVAL_S
         if self.row_source.parent() is not None:
             return _PEER_READ_INTERVAL_S
+        if is_large and self.row_source.is_first:
+            return _PEER_READ_INTERVAL_S
         return _FOLLOWER_READ_INTERVAL_S
 
     def _plan_zones(self) -> None:
--- a/tamarackpier/daemon/row_source.py
+++ b/tamarackpier/daemon/row_source.py
@@ -1,11 +1,11 @@
 """Reads engine rows from a peer that follows them, or from the store.
 
-Reads of the store are charged for and share a rate limit, while traffic within
-an availability zone is free. So one instance of each zone reads the store, and
-the others follow one another. An instance that plans a zone also reads the
-store.
+Reads of the store are charged for and share a rate limit. So few instances read
+the store, and the others follow one another. What a peer passes on includes the
+configuration in force.
 """
 
+import math
 from collections.abc import Callable
 
 from returns import pipeline, result
@@ -21,6 +21,9 @@
 # Less than half of the time in which an instance must learn that an engine
 # drains.
 _MAX_LAG_S = 0.8
+# Age up to which an answer of the followed peer vouches for the configuration;
+# a quiet peer answers after `_MAX_PEER_WAIT_S`.
+_CONFIGURATION_AGE_S = 1.2
 _PEER_BACKOFF_S = 3.0  # After a peer fails, the store is read for this long.
 
 
@@ -31,10 +34,12 @@
         store: Watch of the store.
         peers: Client for calls to peers.
         roster: The known instances.
-        must_read_store: Returns whether this instance has to read the store.
+        is_planning: Returns whether this instance plans a zone.
         own_version: Returns the version up to which this instance has read.
         newest_version: Returns the newest version that any peer has read.
         metrics: Counts reads by source.
+        on_configuration: Called with an encoded configuration, and the ID of
+            the peer that has passed it on.
     """
 
     def __init__(
@@ -42,7 +47,7 @@
         store: interfaces.Watch,
         peers: entry_peers.EntryPeers,
         instances: roster.Roster,
-        must_read_store: Callable[[], bool],
+        is_planning: Callable[[], bool],
         own_version: Callable[[], int],
         newest_version: Callable[[], int],
         counts: metrics.Metrics,
@@ -51,12 +56,16 @@
         self.store = store
         self.peers = peers
         self.roster = instances
-        self.must_read_store = must_read_store
+        self.is_planning = is_planning
         self.own_version = own_version
         self.newest_version = newest_version
         self.metrics = counts
         self.clock = clock
+        self.on_configuration: Callable[[bytes, str], None] = (
+            lambda data, peer_id: None
+        )
         self._backoff_until = 0.0
+        self._configuration_passed_at = -math.inf
         # Newest version that peers have and this instance lacks, and the time
         # since when.
         self._missing_version: tuple[int, float] | None = None
@@ -84,9 +93,9 @@
             is_current = not self._is_behind()
             if pipeline.is_successful(follow_result) and is_current:
                 self.metrics.count("rows_read", "peer")
-                return follow_result.map(
-                    lambda changes: _clamp_version(changes, after)
-                )
+                followed = follow_result.unwrap()
+                self._pass_on_configuration(followed, parent)
+                return result.Success(_clamp_version(followed.changes, after))
             self._start_backoff(parent, follow_result)
         self.metrics.count("rows_read", "store")
         return await self.store.changes(table, after, wait_s)
@@ -94,13 +103,35 @@
     def parent(self) -> str | None:
         """Returns the ID of the peer to follow; None to read the store."""
         now = self.clock()
-        if self.must_read_store() or now < self._backoff_until:
+        if now < self._backoff_until:
             return None
         parent = partners.parent(
-            self.roster.own_presence, self.roster.live(now)
+            self.roster.own_presence, self.roster.live(now), self.is_planning()
         )
         return parent.id if parent else None
 
+    @property
+    def is_first(self) -> bool:
+        """Whether all others of a large fleet follow this instance."""
+        own = self.roster.own_presence
+        live = self.roster.live(self.clock())
+        return not any(peer.id < own.id for peer in live if not peer.is_leaving)
+
+    @property
+    def passes_configuration(self) -> bool:
+        """Whether a peer currently passes on the configuration in force."""
+        return (
+            self.clock() - self._configuration_passed_at < _CONFIGURATION_AGE_S
+        )
+
+    def _pass_on_configuration(
+        self, followed: entry_peers.Followed, parent: str
+    ) -> None:
+        if followed.configuration_version:
+            self._configuration_passed_at = self.clock()
+        if followed.configuration:
+            self.on_configuration(followed.configuration, parent)
+
     def _is_behind(self) -> bool:
         """Returns whether this instance lags behind a peer for too long."""
         now = self.clock()
@@ -119,7 +150,7 @@
     def _start_backoff(
         self,
         parent: str,
-        follow_result: result.Result[interfaces.Changes, codes.Fault],
+        follow_result: result.Result[entry_peers.Followed, codes.Fault],
     ) -> None:
         self._backoff_until = self.clock() + _PEER_BACKOFF_S
         self._missing_version = None
--- a/tamarackpier/daemon/store_watch.py
+++ b/tamarackpier/daemon/store_watch.py
@@ -13,6 +13,7 @@
 __all__ = ["TableFollower"]
 
 _MAX_WAIT_S = 20.0  # Longest wait for a change; the store allows 30 s.
+_COVERED_S = 0.2  # Time after which is_covered is asked again.
 _MIN_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 0.5  # Half of the time in which a change must be in force.
 
@@ -32,6 +33,8 @@
         is_lost: Whether reads fail; a lost history does not count.
         read_at: Time of the last successful read, in seconds on the monotonic
             clock; before the first one, the time of creation.
+        is_covered: Returns whether the changes come by another way, so that
+            the table need not be read.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         self.metrics = counts
         self.rng = rng
         self.clock = clock
+        self.is_covered: Callable[[], bool] = lambda: False
         self.is_lost = False
         self.read_at = clock()
         self._last_version: int | None = None
@@ -79,6 +83,9 @@
 
     async def step(self) -> None:
         """Reads the changes once and applies them."""
+        if self._last_version is not None and self.is_covered():
+            await asyncio.sleep(_COVERED_S)
+            return
         if self._last_version is None:
             read_result = await self.watch.snapshot(self.table)
             apply = self.on_snapshot
--- a/tamarackpier/peer/partners.py
+++ b/tamarackpier/peer/partners.py
@@ -81,25 +81,43 @@
 
 
 def parent(
-    own_presence: roster.Presence, live: Iterable[roster.Presence]
+    own_presence: roster.Presence,
+    live: Iterable[roster.Presence],
+    is_planning: bool,
 ) -> roster.Presence | None:
     """Returns the peer to follow for engine rows, or None to read the store.
 
     The instances of an availability zone form a tree in the order of their IDs.
-    Its root reads the store. Leaving peers are left out.
+    Its root reads the store; so does an instance that plans a zone. In a large
+    fleet both follow the first instance of all, which alone reads the store.
+    Leaving peers are left out.
+
+    Args:
+        own_presence: Presence of this instance.
+        live: Presences of the live peers.
+        is_planning: Whether this instance plans a zone.
     """
-    zone_instances = sorted(
+    instances = sorted(
         (
             instance
             for instance in (own_presence, *live)
-            if instance.availability_zone == own_presence.availability_zone
-            and (instance.id == own_presence.id or not instance.is_leaving)
+            if instance.id == own_presence.id or not instance.is_leaving
         ),
         key=lambda instance: instance.id,
     )
+    zone_instances = [
+        instance
+        for instance in instances
+        if instance.availability_zone == own_presence.availability_zone
+    ]
     position = next(
         index
         for index, instance in enumerate(zone_instances)
         if instance.id == own_presence.id
     )
-    return zone_instances[(position - 1) // _MAX_CHILDREN] if position else None
+    if position and not is_planning:
+        return zone_instances[(position - 1) // _MAX_CHILDREN]
+    is_first = instances[0].id == own_presence.id
+    if is_first or len(instances) <= roster.MAX_DIRECT_PEERS + 1:
+        return None
+    return instances[0]
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -16,6 +16,7 @@
     peer_status,
     row_cache,
     row_source,
+    store_watch,
     zone_lease,
 )
 from tamarackpier.fleet import departures, fleet_view, model
@@ -232,7 +233,7 @@
     children = {}
     for own in zone:
         live = [peer for peer in zone if peer is not own]
-        parent = partners.parent(own, live)
+        parent = partners.parent(own, live, is_planning=False)
         children.setdefault(parent.id if parent else "", []).append(own.id)
     assert children.pop("") == ["entry-000"]
     assert max(len(ids) for ids in children.values()) == 4
@@ -241,6 +242,7 @@
         partners.parent(
             other,
             [exchange_fixtures.presence(0), exchange_fixtures.presence(2)],
+            is_planning=False,
         )
         is None
     )
@@ -390,7 +392,17 @@
         return self.answer
 
 
-def _source(answer, newest=0, must_read_store=False):
+def _followed(version, configuration_version=0, configuration=b""):
+    return result.Success(
+        entry_peers.Followed(
+            interfaces.Changes((), version),
+            configuration_version,
+            configuration,
+        )
+    )
+
+
+def _source(answer, newest=0, is_planning=False):
     roster = roster_lib.Roster(exchange_fixtures.presence(1, zones=1))
     roster.merge([exchange_fixtures.presence(0, zones=1)], 0.0)
     store = _CountingStore()
@@ -399,7 +411,7 @@
         store,
         _Peers(answer),
         roster,
-        lambda: must_read_store,
+        lambda: is_planning,
         lambda: 5,
         lambda: newest,
         metrics.Metrics(),
@@ -409,7 +421,7 @@
 
 
 def test_rows_come_from_peer_and_version_never_decreases():
-    answer = result.Success(interfaces.Changes((), 3))
+    answer = _followed(3)
     source, store, _ = _source(answer)
     changes = asyncio.run(source.changes("engines", 5, 1.0)).unwrap()
     assert changes.version == 5
@@ -421,7 +433,7 @@
     source, store, clock = _source(failure)
     asyncio.run(source.changes("engines", 5, 1.0))
     assert store.reads == 1
-    source.peers.answer = result.Success(interfaces.Changes((), 6))
+    source.peers.answer = _followed(6)
     asyncio.run(source.changes("engines", 5, 1.0))
     assert store.reads == 2
     source.roster.record_beat("entry-000", 9, True, False, 3.5)
@@ -431,7 +443,7 @@
 
 
 def test_rows_come_from_store_when_peer_stays_behind():
-    answer = result.Success(interfaces.Changes((), 5))
+    answer = _followed(5)
     source, store, clock = _source(answer, newest=9)
     for step in range(5):
         clock.now = step * 0.2
@@ -445,12 +457,68 @@
 
 
 def test_planner_reads_rows_from_store():
-    answer = result.Success(interfaces.Changes((), 6))
-    source, store, _ = _source(answer, must_read_store=True)
+    answer = _followed(6)
+    source, store, _ = _source(answer, is_planning=True)
     asyncio.run(source.changes("engines", 5, 1.0))
     assert store.reads == 1
 
 
+def test_only_one_instance_of_a_large_fleet_reads_the_store():
+    fleet = [exchange_fixtures.presence(index, zones=5) for index in range(60)]
+    readers = []
+    for own in fleet:
+        live = [peer for peer in fleet if peer is not own]
+        for is_planning in (False, True):
+            if partners.parent(own, live, is_planning) is None:
+                readers.append(own.id)
+    assert set(readers) == {"entry-000"}
+
+
+def test_followed_peer_passes_on_the_configuration():
+    received = []
+    source, _, clock = _source(_followed(6, 3, b"new"))
+    source.on_configuration = lambda data, peer_id: received.append(data)
+    assert not source.passes_configuration
+    asyncio.run(source.changes("engines", 5, 1.0))
+    assert received == [b"new"]
+    assert source.passes_configuration
+    clock.now = 1.5
+    assert not source.passes_configuration
+
+
+def test_peer_of_an_earlier_build_does_not_vouch_for_the_configuration():
+    source, _, _ = _source(_followed(6))
+    asyncio.run(source.changes("engines", 5, 1.0))
+    assert not source.passes_configuration
+
+
+def test_table_is_read_again_when_no_peer_vouches_for_it():
+    async def check():
+        store = _CountingStore()
+        follower = store_watch.TableFollower(
+            "op",
+            store,
+            lambda changes: None,
+            lambda changes: None,
+            lambda: None,
+            lambda: None,
+            lambda: 0.0,
+            metrics.Metrics(),
+            random.Random(1),
+            lambda: 0.0,
+        )
+        await follower.step()
+        reads = store.reads
+        follower.is_covered = lambda: True
+        await follower.step()
+        assert store.reads == reads
+        follower.is_covered = lambda: False
+        await follower.step()
+        assert store.reads == reads + 1
+
+    asyncio.run(check())
+
+
 class _SilentPeer(entry_pb2_grpc.EntryServicer):
     """A peer that does not reply within the duration of the test."""
 
