Make an instance more patient after needless probe rounds

Each asks every member over a new connection, which at replicas of 32 is most of what a large fleet does for itself. Each needless round now multiplies the allowed silence of all replicas at that instance by 1.5, up to five times and 0.8 s; half of the excess is forgotten in 20 s. A stuck replica still gets a round in time.

The test had no such function before.

--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -295,7 +295,9 @@
             found=probe_result.reason or "all well",
             pace=probe_result.pace,
         )
-        if probe_result.reason:
+        if not probe_result.reason:
+            self.streams.record_needless_round(now)
+        else:
             suspension = fleet_view.Suspension(
                 key,
                 now + _SUSPENSION_S,
--- a/tamarackpier/traffic/stream_attempts.py
+++ b/tamarackpier/traffic/stream_attempts.py
@@ -38,6 +38,15 @@
 _READING_FACTOR = 2.0
 # Time between probe rounds if the last one found all members well.
 _REPROBE_S = 0.6
+# Factor on the allowed silence after each round that found all members well,
+# its upper limit, and the time in which half of the excess is forgotten. An
+# instance whose streams are late for another reason would ask all the time.
+_PATIENCE_GROWTH = 1.5
+_MAX_PATIENCE = 5.0
+_PATIENCE_HALF_LIFE_S = 20.0
+# Silence up to which patience grows; leaves time for a round before a replica
+# counts as stuck.
+_MAX_PATIENT_S = 0.8
 
 
 @dataclasses.dataclass(eq=False)
@@ -90,6 +99,9 @@
             the relay's clock.
         probed_at: Time of each replica's last probe round, in seconds on the
             relay's clock.
+        patience: Factor on the allowed silence, as of `patience_at`; grows with
+            needless probe rounds, over all replicas.
+        patience_at: Time in seconds on the relay's clock.
     """
 
     def __init__(self) -> None:
@@ -98,6 +110,19 @@
         )
         self.last_data_at: dict[model.ReplicaKey, float] = {}
         self.probed_at: dict[model.ReplicaKey, float] = {}
+        self.patience = 1.0
+        self.patience_at = 0.0
+
+    def record_needless_round(self, now: float) -> None:
+        """Records that a probe round for silence found all members well."""
+        grown = self.current_patience(now) * _PATIENCE_GROWTH
+        self.patience = min(_MAX_PATIENCE, grown)
+        self.patience_at = now
+
+    def current_patience(self, now: float) -> float:
+        """Returns the factor on the allowed silence; at least 1."""
+        age_s = now - self.patience_at
+        return 1 + (self.patience - 1) * 0.5 ** (age_s / _PATIENCE_HALF_LIFE_S)
 
     def add(self, attempt: StreamAttempt, now: float) -> None:
         """Adds an attempt that is about to be sent."""
@@ -197,4 +222,8 @@
             + _MISSED_EVENTS * attempt.event_interval_s
             + _READING_FACTOR * attempt.reading_s
         )
-        return now - silent_since - allowed_s
+        patient_s = min(
+            allowed_s * self.current_patience(now),
+            max(allowed_s, _MAX_PATIENT_S),
+        )
+        return now - silent_since - patient_s
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -418,6 +418,28 @@
     assert scores.latency("s", 0.1, 30.0) < 0.11
 
 
+def test_needless_probe_rounds_make_an_instance_more_patient():
+    async def check():
+        async with asyncio.timeout(None) as timeout_scope:
+            streams = stream_attempts.StreamAttempts()
+            key = model.ReplicaKey("r", 1)
+            attempt = stream_attempts.StreamAttempt(
+                "q", key, "e", timeout_scope, 0.0, 0.04, 0.0
+            )
+            streams.add(attempt, 0.0)
+            assert streams.silent(0.15)
+            for _ in range(20):
+                streams.record_needless_round(0.0)
+            assert streams.silent(0.6) == []
+            # A replica is stuck after 1.5 s, which a round has to find.
+            assert streams.silent(1.0)
+            attempt.waiting_since = 99.9
+            assert streams.silent(100.04) == []
+            assert streams.silent(100.1)
+
+    asyncio.run(check())
+
+
 def test_only_a_replica_whose_streams_are_all_silent_is_reported():
     async def check():
         async with asyncio.timeout(None) as timeout_scope:
