Share the weight store's loads among the zones that have loads to do

Each zone's planner ran at most its equal part of the concurrent loads, so that a zone that had lost a domain loaded two at a time while the others loaded nothing. Planners pack all zones, so each knows which have loads to do. The test of the limit checked one such case by the number of zones alone; it now checks that the loads of one, two and three busy zones together are those that the store serves.

--- a/tamarackpier/fleet/staging.py
+++ b/tamarackpier/fleet/staging.py
@@ -29,6 +29,7 @@
     Attributes:
         spec: Capacity and timing of the engines.
         planner_count: Number of planners that share the weight store.
+        active_count: Number of those that have loads to do.
         loading: Model and start time of the load of each loading engine, by
             engine ID; the time is in seconds on the monotonic clock.
         tokens: Number of loads that may start now.
@@ -39,6 +40,7 @@
     ) -> None:
         self.spec = spec
         self.planner_count = planner_count
+        self.active_count = planner_count
         self.loading: dict[str, tuple[str, float]] = {}
         self.tokens = self._max_tokens()
         self._refilled_at = now
@@ -110,7 +112,7 @@
 
         More of them would slow each other down and finish no sooner.
         """
-        return max(1, self.spec.loads_at_once // self.planner_count)
+        return max(1, self.spec.loads_at_once // self.active_count)
 
     def _max_tokens(self) -> float:
         return max(2.0, self.spec.loads_per_s)
--- a/tamarackpier/fleet/zone_planner.py
+++ b/tamarackpier/fleet/zone_planner.py
@@ -140,6 +140,11 @@
                     placement, free[placement.domain], loads, fleet, now
                 )
         loads += self._spare_loads(free, packed, needs)
+        self.staging.active_count = len(
+            {self.zone}
+            | {placement.zone for placement in placements if placement.loads}
+            | {domain.zone for domain in packed if domain.blank}
+        )
         if not self._awaits_engines(now):
             orders += self.staging.orders(
                 loads, self._is_deployment_starting, now
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -827,10 +827,21 @@
     assert model.OrderKind.JOIN not in {order.kind for order in orders}
 
 
-def test_concurrent_loads_are_limited():
+def _count_first_loads(busy_zones):
+    """Returns how many loads zone-a's planner starts before any completes.
+
+    Args:
+        busy_zones: Zones in which engines have to load weights.
+    """
     fleet = _create_fleet(
         hosted_fixtures.replica_records()
-        + [hosted_fixtures.record(f"n{index}") for index in range(9)]
+        + [
+            hosted_fixtures.record(
+                f"{zone}-{index}", availability_zone=zone, domain=f"{zone}-d0"
+            )
+            for zone in busy_zones
+            for index in range(9)
+        ]
     )
     planner = zone_planner.ZonePlanner(
         "drafts",
@@ -848,7 +859,14 @@
             for order in planner.tick(fleet, {"large": 3}, step * TICK_S)
             if order.kind is model.OrderKind.STAGE
         ]
-    assert len(stages) == 2
+    return len(stages)
+
+
+def test_concurrent_loads_are_limited():
+    zones = ["zone-a", "zone-b", "zone-c"]
+    for count in (1, 2, 3):
+        # The weight store serves 6 loads at a time, for all zones together.
+        assert _count_first_loads(zones[:count]) == 6 // count
 
 
 def _spares(count=4):
