--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -245,6 +245,9 @@
             self.metrics,
             self.clock,
         )
+        self.engine_rows.logs_rows = lambda: (
+            self._is_planning() or self.row_source.parent() is None
+        )
         self.row_source.on_configuration = lambda data, peer_id: (
             self.configuration.apply(data, f"peer {peer_id}")
         )
--- a/tamarackpier/daemon/row_cache.py
+++ b/tamarackpier/daemon/row_cache.py
@@ -101,6 +101,8 @@
     Attributes:
         fleet: The local view of engines; updated from the rows.
         on_change: Called after each update.
+        logs_rows: Returns whether to log each engine that changes. Instances
+            that follow a peer leave that to the one that reads the store.
         metrics: Counters of this instance.
         clock: Returns the monotonic time, in seconds.
         is_loaded: Whether a snapshot has been applied.
@@ -121,6 +123,7 @@
         self.on_change = on_change
         self.metrics = counts
         self.clock = clock
+        self.logs_rows: Callable[[], bool] = lambda: True
         self.is_loaded = False
         self.rows: dict[str, bytes] = {}
         self.version = 0
@@ -148,6 +151,7 @@
         """Applies the rows that changed."""
         now = self.clock()
         self.version = changes.version
+        is_logged = self.logs_rows()
         for row in changes.rows:
             if len(self.history) == _MAX_HISTORY_LENGTH:
                 self._history_start_version = self.history[0].version
@@ -158,9 +162,9 @@
                 self.rows[row.key] = row.data
             record = self._decode(row) if row.data is not None else None
             if record is None:
-                self._remove_engine(row.key, now)
+                self._remove_engine(row.key, is_logged, now)
             else:
-                self._update_engine(record)
+                self._update_engine(record, is_logged)
         self.notify_waiters()
         self.on_change()
 
@@ -190,11 +194,13 @@
         )
         return interfaces.Changes(rows, self.version)
 
-    def _update_engine(self, record: model.EngineRecord) -> None:
+    def _update_engine(
+        self, record: model.EngineRecord, is_logged: bool
+    ) -> None:
         known_record = self.fleet.engines.get(record.id)
         self.fleet.put(record)
         record = self.fleet.engines[record.id]
-        if known_record == record:
+        if known_record == record or not is_logged:
             return
         membership = record.membership
         logs.decision(
@@ -208,10 +214,13 @@
             state=membership.state.value if membership else "",
         )
 
-    def _remove_engine(self, engine_id: str, now: float) -> None:
+    def _remove_engine(
+        self, engine_id: str, is_logged: bool, now: float
+    ) -> None:
         if engine_id in self.fleet.engines:
             self.metrics.count("engine_row", "gone")
-            logs.decision("engine row gone", engine=engine_id)
+            if is_logged:
+                logs.decision("engine row gone", engine=engine_id)
         self.fleet.remove(engine_id, now)
 
     def _decode(self, row: interfaces.Change) -> model.EngineRecord | None:
