Keep the survivors of a retiring replica together

The members of a retiring replica leave it one by one, and each, once free, was taken for an idle engine of a covered model: a slightly short model made it load other weights, so that the replica could not be built again from its other members and the spare that was kept for it. A rebuild of the wide model, when it was the short one, was refused the last spare of the narrow one.

Members that are to leave now count as free holders of their weights. A model takes idle engines of another only if its coverage is below three quarters of the other's, or if most of a replica are there; then it also takes the other's spares if it is short.

The three tests failed before.

--- a/tamarackpier/fleet/packing.py
+++ b/tamarackpier/fleet/packing.py
@@ -39,6 +39,9 @@
 # takes longer than the load takes to rise, so it starts before the model is
 # short.
 _RELOAD_COVERAGE = 1.5
+# Ratio of its coverage to that of the other model below which a model gets
+# engines that hold the other one's weights, unless most of a replica are there.
+_RELOAD_RATIO = 0.75
 
 
 @dataclasses.dataclass(frozen=True)
@@ -306,12 +309,16 @@
     other = needs.get(holder)
     if other is None:
         return domain.holders[holder]
-    if need.coverage >= _RELOAD_COVERAGE or need.coverage > other.coverage:
-        return 0
     has_most = 2 * domain.holders[need.spec.name] > need.spec.span
-    if need.coverage == other.coverage and not has_most:
+    limit = other.coverage * (1 if has_most else _RELOAD_RATIO)
+    is_worse = need.coverage < limit or (
+        has_most and need.coverage == other.coverage
+    )
+    if need.coverage >= _RELOAD_COVERAGE or not is_worse:
         return 0
-    kept = _KEPT_SPARES if domain.in_replicas[holder] else 0
+    kept = 0
+    if domain.in_replicas[holder] and not (has_most and need.coverage < 1):
+        kept = _KEPT_SPARES
     return max(0, domain.holders[holder] - kept)
 
 
--- a/tamarackpier/fleet/zone_planner.py
+++ b/tamarackpier/fleet/zone_planner.py
@@ -356,6 +356,9 @@
     ) -> list[packing.Domain]:
         """Returns the domains of the service in all availability zones.
 
+        Members of a retiring replica count as free engines: they leave it one
+        by one, and the first ones are not to load other weights meanwhile.
+
         Args:
             free: Engines of this zone that may join a replica, by domain.
             fleet: View of the engines.
@@ -381,17 +384,23 @@
                 domain = packing.Domain(engine.domain, engine.availability_zone)
                 domains[key] = domain
             is_own = engine.availability_zone == self.zone
+            membership = engine.membership
             if engine.id in forming:
                 domain.in_replicas[forming[engine.id]] += 1
-            elif engine.id in free_ids or (
-                not is_own and engine.membership is None
+            elif (
+                engine.id in free_ids
+                or (not is_own and membership is None)
+                or (
+                    membership is not None
+                    and self.needs_no_check(membership.key)
+                )
             ):
                 name = self.staging.model_of(engine)
                 if name:
                     domain.holders[name] += 1
                 else:
                     domain.blank += 1
-            elif engine.membership is not None:
+            elif membership is not None:
                 domain.in_replicas[engine.model] += 1
         return list(domains.values())
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -335,6 +335,40 @@
     assert loads == [(model.OrderKind.STAGE, "small")] * 3
 
 
+def test_survivors_that_leave_one_by_one_load_no_other_weights():
+    def replica(name, fence, span, model_name):
+        return [
+            dataclasses.replace(record, domain=f"domain-of-{name}")
+            for record in hosted_fixtures.replica_records(
+                name, fence, span, model_name=model_name
+            )
+        ]
+
+    spares = [
+        hosted_fixtures.record("s0", domain="domain-of-l0", staged=("large",)),
+        hosted_fixtures.record("s1", domain="domain-of-l0", staged=("small",)),
+        hosted_fixtures.record("s2", domain="domain-of-l0", staged=("small",)),
+    ]
+    records = [
+        *(r for index in range(6) for r in replica(f"l{index}", 1, 4, "large")),
+        *(r for index in range(4) for r in replica(f"s{index}", 1, 3, "small")),
+        *spares,
+    ]
+    fleet = _create_fleet(records)
+    planner = _create_planner()
+    planner.confirm_failed(model.ReplicaKey("l0", 1))
+    fleet.silent["l0-0"] = 0.0
+    for step in range(10):
+        orders = planner.tick(fleet, {"small": 40}, step * TICK_S)
+        kinds = {order.kind for order in orders}
+        assert model.OrderKind.STAGE not in kinds
+        leaving = [
+            order for order in orders if order.kind is model.OrderKind.LEAVE
+        ]
+        for order in leaving[:1]:
+            planner.record_outcome(order, model.OrderOutcome.ACCEPTED)
+
+
 def test_wide_model_stands_though_engines_appear_one_by_one():
     for seed in range(5):
         zone = _Zone(seed, domains=0, spec=WIDE_SPEC)
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -104,6 +104,22 @@
     ]
 
 
+def test_short_wide_replica_is_rebuilt_with_the_last_spare_of_another_model():
+    domain = _domain(in_replicas={"small": 2}, holders={"large": 3, "small": 1})
+    needs = [_need("large", 4, 1, 3.0), _need("small", 2, 8, 5.0)]
+    placements, _ = packing.place([domain], needs)
+    assert [
+        (placement.model, placement.reloads) for placement in placements
+    ] == [("large", 1)]
+
+
+def test_model_that_is_hardly_worse_off_takes_no_idle_engines_of_another():
+    domain = _domain(holders={"large": 3, "small": 1})
+    needs = [_need("large", 4, 3, 3.0), _need("small", 2, 5, 5.5)]
+    placements, _ = packing.place([domain], needs)
+    assert "small" not in _count_by_model(placements)
+
+
 def test_what_can_be_served_is_served_in_odd_deployments():
     cases = [
         # Domains of one engine.
