--- a/tests/process_fixtures.py
+++ b/tests/process_fixtures.py
@@ -80,6 +80,8 @@
             its start.
         newest_version_seen: Newest configuration version that the process has
             served since its start, or 0.
+        build: Folder with the package that the next process runs; None for
+            this build.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         self.start_count = 0
         self.is_exit_expected = False
         self.newest_version_seen = 0
+        self.build = None
 
     async def prepare(self, log_level="info"):
         """Opens the links and writes the settings file."""
@@ -143,6 +146,7 @@
                 ],
                 stdout=output,
                 stderr=output,
+                cwd=self.build,
             )
 
     def handles_sighup(self):
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -20,6 +20,7 @@
 import collections
 import contextlib
 import dataclasses
+import io
 import itertools
 import os
 import pathlib
@@ -27,6 +28,7 @@
 import signal
 import subprocess
 import sys
+import tarfile
 import tempfile
 import time
 
@@ -115,6 +117,8 @@
         refused_ids: IDs of the orders that were refused.
         order_ids: IDs of all orders sent.
         restores_store: Whether the store comes back from older copies.
+        builds: Folders of the builds that run before and after the rolling
+            restart; None for this build.
         is_restarting: Whether the rolling restart is in progress.
         is_over: Whether the run has ended.
         running_faults: Tasks of the faults in progress.
@@ -125,6 +129,7 @@
     def __init__(self, seed, count, folder, restores_store=False):
         self.seed = seed
         self.restores_store = restores_store
+        self.builds = (None, None)
         self.rng = random.Random(seed)
         self.folder = folder
         self.report = Report()
@@ -176,6 +181,7 @@
             await self.add_engine("orders", None)
         self.configure()
         for entry in self.entries:
+            entry.build = self.builds[0]
             await entry.prepare()
             entry.start()
         async with aiohttp.ClientSession(
@@ -335,6 +341,7 @@
         began_at = time.monotonic()
         self.is_restarting = True
         for entry in self.entries:
+            entry.build = self.builds[1]
             entry.signal(signal.SIGTERM)
             await asyncio.sleep(process_fixtures.STOP_GRACE_S + 1.0)
         self.is_restarting = False
@@ -622,8 +629,31 @@
             await soak.stop([])
 
 
+def extract_build(commit: str, folder: pathlib.Path) -> pathlib.Path:
+    """Writes the package of a commit of this repository to a folder.
+
+    Returns:
+        The folder in which processes of that build run.
+    """
+    archive = subprocess.run(
+        ["git", "archive", "--format=tar", commit, "tamarackpier"],
+        check=True,
+        capture_output=True,
+        cwd=pathlib.Path(__file__).parent.parent,
+    ).stdout
+    build = folder / "build"
+    with tarfile.open(fileobj=io.BytesIO(archive)) as package:
+        package.extractall(build, filter="data")
+    return build
+
+
 def run(
-    seed: int, seconds: float, count: int, restores_store: bool = False
+    seed: int,
+    seconds: float,
+    count: int,
+    restores_store: bool = False,
+    other_commit: str = "",
+    is_rollback: bool = False,
 ) -> Report:
     """Plays one seed; keeps the logs of the instances after a violation.
 
@@ -632,9 +662,17 @@
         seconds: Duration of the phase in which faults start, in seconds.
         count: Number of entry instances.
         restores_store: Whether the store comes back from copies meanwhile.
+        other_commit: Commit whose build the instances run before the rolling
+            restart, which replaces it by this build; empty for this build.
+        is_rollback: Whether that build replaces this one instead.
     """
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(seed, count, pathlib.Path(folder), restores_store)
+        if other_commit:
+            other_build = extract_build(other_commit, pathlib.Path(folder))
+            soak.builds = (
+                (None, other_build) if is_rollback else (other_build, None)
+            )
         report = asyncio.run(soak.run(seconds))
         if report.violations:
             log_folder = pathlib.Path(tempfile.gettempdir()) / f"soak-{seed}"
@@ -661,13 +699,29 @@
 @click.option(
     "--restores", is_flag=True, help="Restores the store from copies as well."
 )
+@click.option(
+    "--other-commit",
+    default="",
+    help="Commit whose build the rolling restart replaces by this one.",
+)
+@click.option(
+    "--rollback", is_flag=True, help="Replaces this build by the other one."
+)
 def main(
-    seed: int, runs: int, seconds: float, instances: int, restores: bool
+    seed: int,
+    runs: int,
+    seconds: float,
+    instances: int,
+    restores: bool,
+    other_commit: str,
+    rollback: bool,
 ) -> None:
     """Injects random faults into real entry processes."""
     failed_seeds = []
     for run_seed in range(seed, seed + runs):
-        report = run(run_seed, seconds, instances, restores)
+        report = run(
+            run_seed, seconds, instances, restores, other_commit, rollback
+        )
         if report.violations:
             failed_seeds.append(run_seed)
         click.echo(
