--- a/bench/figures.py
+++ b/bench/figures.py
@@ -21,6 +21,14 @@
 worst kind, each with its weight, then the prices.
 
 """
+# Parts of a day's worth by their names in journal entries, with the titles of
+# their columns.
+_PARTS = {
+    "whole day": "whole day",
+    "worst windows": "windows",
+    "worst class": "kind",
+    "nines": "nines",
+}
 _MIN_LISTED_PRICE = 0.005  # Lower prices are added up as "rest".
 
 
@@ -32,10 +40,16 @@
     return 0.0, 0.0
 
 
+def _parts_of(day: dict[str, Any]) -> list[str]:
+    """Returns the names of the parts that a day's worth is made of."""
+    names = {name for name, _, _ in day["parts"]}
+    return [name for name in _PARTS if name in names]
+
+
 def _row(day: dict[str, Any]) -> str:
     """Returns the row of a day in the table of losses."""
     columns = []
-    for name in ("whole day", "worst windows", "worst class"):
+    for name in _parts_of(day):
         weight, value = _weight_and_value(day["parts"], name)
         columns.append(f"{value:.3f} | {weight * (1 - value):.3f}")
     prices = [(name, share) for name, _, share in day["prices"] if share > 0]
@@ -56,16 +70,21 @@
     """Returns the section of a site with its tables."""
     days = entry["days"]
     mean = sum(day["G"] for day in days) / len(days)
+    troubled = [day["G"] for day in days if day["slot"] != "quiet"]
+    titles = [_PARTS[name] for name in _parts_of(days[0])]
+    columns = ["day", "score", "worth"]
+    for title in titles:
+        columns += [title, "lost"]
+    columns += ["refused", "failed", "prices"]
     lines = [
         f"## {entry['site']}",
         "",
         f"Entry {entry['id']} at revision {entry['head'][:7]}: "
-        f"score {entry['score']:.3f}, mean worth {mean:.3f}.",
+        f"score {entry['score']:.3f}, mean worth {mean:.3f}, on the days with "
+        f"trouble {sum(troubled) / len(troubled):.3f}.",
         "",
-        "| day | score | worth | whole day | lost | windows | lost "
-        "| kind | lost | refused | failed | prices |",
-        "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- "
-        "| --- |",
+        f"| {' | '.join(columns)} |",
+        f"|{' --- |' * len(columns)}",
     ]
     lines += [_row(day) for day in days]
     lines += [
