Let a follower of an earlier build wait, and send it no configuration

Such a follower names no version of the configuration, which counted as an older one: each of its calls was answered at once and with the whole configuration, ten times a second. An instance without a configuration now reads the operators' table itself, whatever its peer vouches for.

--- a/tamarackpier/daemon/entry_peers.py
+++ b/tamarackpier/daemon/entry_peers.py
@@ -105,17 +105,22 @@
     ) -> entry_pb2.FollowEnginesReply:
         """Returns what changed at this instance, after waiting for it.
 
-        That is engine rows, and a configuration that the caller lacks.
+        That is engine rows, and a configuration that the caller lacks. A caller
+        of an earlier build names no configuration, and can't take one.
         """
         wait_s = min(_MAX_WAIT_S, request.wait_ms / 1e3)
+
+        def has_newer_configuration() -> bool:
+            known_version = request.configuration_version
+            return 0 < known_version < self.configuration.version
+
         is_waiting = (
             self.engines.version <= request.after_version
-            and self.configuration.version <= request.configuration_version
+            and not has_newer_configuration()
         )
         if is_waiting and not self.is_doubtful():
             await self.engines.wait_for_change(wait_s)
         changes = self.engines.changes_after(request.after_version)
-        is_newer = self.configuration.version > request.configuration_version
         return entry_pb2.FollowEnginesReply(
             version=self.engines.version,
             rows=[
@@ -130,7 +135,9 @@
             is_history_lost=changes is None,
             is_doubtful=self.is_doubtful(),
             configuration_version=self.configuration.version,
-            configuration=self.configuration.data if is_newer else b"",
+            configuration=(
+                self.configuration.data if has_newer_configuration() else b""
+            ),
         )
 
     async def FetchConfiguration(  # noqa: N802
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -280,7 +280,8 @@
             ),
         )
         self.followers[0].is_covered = lambda: (
-            self.row_source.passes_configuration
+            self.configuration.version > 0
+            and self.row_source.passes_configuration
         )
         self.catch_up = catch_up.CatchUp(
             self.statuses,
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -492,6 +492,44 @@
     assert not source.passes_configuration
 
 
+def _follow(own_version, known_version):
+    """Returns the reply to a caller that names a configuration version."""
+
+    async def check():
+        configuration = types.SimpleNamespace(version=own_version, data=b"new")
+        engines = types.SimpleNamespace(
+            version=5, changes_after=lambda version: interfaces.Changes((), 5)
+        )
+        waits = []
+
+        async def wait_for_change(wait_s):
+            waits.append(wait_s)
+
+        engines.wait_for_change = wait_for_change
+        service = entry_peers.EntryService(
+            None, configuration, engines, lambda: False
+        )
+        request = entry_pb2.FollowEnginesRequest(
+            after_version=5, wait_ms=700, configuration_version=known_version
+        )
+        reply = await service.FollowEngines(request, None)
+        return reply, waits
+
+    return asyncio.run(check())
+
+
+def test_follower_gets_a_newer_configuration_at_once():
+    reply, waits = _follow(7, 6)
+    assert (reply.configuration_version, reply.configuration) == (7, b"new")
+    assert not waits
+
+
+def test_follower_of_an_earlier_build_waits_and_gets_no_configuration():
+    reply, waits = _follow(7, 0)
+    assert reply.configuration == b""
+    assert waits == [0.7]
+
+
 def test_table_is_read_again_when_no_peer_vouches_for_it():
     async def check():
         store = _CountingStore()
