Let no lost answer of the store blind a large fleet

Found by reading: one instance reads the engine rows for a large fleet, with polls of up to 20 s. If an answer is lost or the store falls silent for that instance, no other one knows a newer version, so that nobody noticed; all planners would have waited for 20 s. The same for the configuration: every other instance left it to that one.

The reader now waits a second at most, so that a lost answer is noticed within 2.5 s, its rows count as possibly stale, and who follows it reads the store. The first instance of each zone reads the operators' table itself again; only peers of the own zone vouch for the configuration. Both tests failed before: 20.0 s and a vouching peer of another zone.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -246,7 +246,7 @@
             self.clock,
         )
         self.engine_rows.logs_rows = lambda: (
-            self._is_planning() or self.row_source.parent() is None
+            self._is_planning() or self.row_source.reads_store
         )
         self.row_source.on_configuration = lambda data, peer_id: (
             self.configuration.apply(data, f"peer {peer_id}")
@@ -521,13 +521,13 @@
         self._registration = asyncio.ensure_future(self._register())
 
     def _engine_read_interval_s(self) -> float:
-        is_large = len(self.roster.others) > roster_lib.MAX_DIRECT_PEERS
-        if self._is_planning() and not is_large:
-            return _PLANNER_READ_INTERVAL_S
-        if self.row_source.parent() is not None:
-            return _PEER_READ_INTERVAL_S
-        if is_large and self.row_source.is_first:
+        if (
+            self.row_source.parent() is not None
+            or self.row_source.is_reader_of_large_fleet
+        ):
             return _PEER_READ_INTERVAL_S
+        if self._is_planning():
+            return _PLANNER_READ_INTERVAL_S
         return _FOLLOWER_READ_INTERVAL_S
 
     def _plan_zones(self) -> None:
--- a/tamarackpier/daemon/row_source.py
+++ b/tamarackpier/daemon/row_source.py
@@ -24,6 +24,9 @@
 # Age up to which an answer of the followed peer vouches for the configuration;
 # a quiet peer answers after `_MAX_PEER_WAIT_S`.
 _CONFIGURATION_AGE_S = 1.2
+# Longest wait of the reader of a large fleet for a change. If an answer of the
+# store is lost, all others know nothing new until the wait ends.
+_READER_WAIT_S = 1.0
 _PEER_BACKOFF_S = 3.0  # After a peer fails, the store is read for this long.
 
 
@@ -40,6 +43,7 @@
         metrics: Counts reads by source.
         on_configuration: Called with an encoded configuration, and the ID of
             the peer that has passed it on.
+        reads_store: Whether the last read was one of the store.
     """
 
     def __init__(
@@ -64,6 +68,7 @@
         self.on_configuration: Callable[[bytes, str], None] = (
             lambda data, peer_id: None
         )
+        self.reads_store = True
         self._backoff_until = 0.0
         self._configuration_passed_at = -math.inf
         # Newest version that peers have and this instance lacks, and the time
@@ -93,11 +98,15 @@
             is_current = not self._is_behind()
             if pipeline.is_successful(follow_result) and is_current:
                 self.metrics.count("rows_read", "peer")
+                self.reads_store = False
                 followed = follow_result.unwrap()
                 self._pass_on_configuration(followed, parent)
                 return result.Success(_clamp_version(followed.changes, after))
             self._start_backoff(parent, follow_result)
         self.metrics.count("rows_read", "store")
+        self.reads_store = True
+        if self.is_reader_of_large_fleet:
+            wait_s = min(wait_s, _READER_WAIT_S)
         return await self.store.changes(table, after, wait_s)
 
     def parent(self) -> str | None:
@@ -111,15 +120,19 @@
         return parent.id if parent else None
 
     @property
-    def is_first(self) -> bool:
-        """Whether all others of a large fleet follow this instance."""
-        own = self.roster.own_presence
-        live = self.roster.live(self.clock())
-        return not any(peer.id < own.id for peer in live if not peer.is_leaving)
+    def is_reader_of_large_fleet(self) -> bool:
+        """Whether a large fleet follows this instance."""
+        return partners.is_reader_of_large_fleet(
+            self.roster.own_presence, self.roster.live(self.clock())
+        )
 
     @property
     def passes_configuration(self) -> bool:
-        """Whether a peer currently passes on the configuration in force."""
+        """Whether a peer of this zone passes on the configuration in force.
+
+        The first instance of each zone reads it itself, so that no lost answer
+        of the store keeps it from all.
+        """
         return (
             self.clock() - self._configuration_passed_at < _CONFIGURATION_AGE_S
         )
@@ -127,7 +140,10 @@
     def _pass_on_configuration(
         self, followed: entry_peers.Followed, parent: str
     ) -> None:
-        if followed.configuration_version:
+        peer = self.roster.others.get(parent)
+        own_zone = self.roster.own_presence.availability_zone
+        is_near = peer is not None and peer[0].availability_zone == own_zone
+        if followed.configuration_version and is_near:
             self._configuration_passed_at = self.clock()
         if followed.configuration:
             self.on_configuration(followed.configuration, parent)
--- a/tamarackpier/peer/partners.py
+++ b/tamarackpier/peer/partners.py
@@ -13,7 +13,7 @@
 
 from tamarackpier.peer import membership, roster
 
-__all__ = ["choose", "parent"]
+__all__ = ["choose", "is_reader_of_large_fleet", "parent"]
 
 # Number of fixed partners in the same availability zone.
 _NEAR_PARTNERS = 6
@@ -97,19 +97,15 @@
         live: Presences of the live peers.
         is_planning: Whether this instance plans a zone.
     """
-    instances = sorted(
+    instances = _staying(own_presence, live)
+    zone_instances = sorted(
         (
             instance
-            for instance in (own_presence, *live)
-            if instance.id == own_presence.id or not instance.is_leaving
+            for instance in instances
+            if instance.availability_zone == own_presence.availability_zone
         ),
         key=lambda instance: instance.id,
     )
-    zone_instances = [
-        instance
-        for instance in instances
-        if instance.availability_zone == own_presence.availability_zone
-    ]
     position = next(
         index
         for index, instance in enumerate(zone_instances)
@@ -117,7 +113,31 @@
     )
     if position and not is_planning:
         return zone_instances[(position - 1) // _MAX_CHILDREN]
-    is_first = instances[0].id == own_presence.id
-    if is_first or len(instances) <= roster.MAX_DIRECT_PEERS + 1:
+    first = _first(instances)
+    if not _is_large(instances) or first.id == own_presence.id:
         return None
-    return instances[0]
+    return first
+
+
+def is_reader_of_large_fleet(
+    own_presence: roster.Presence, live: Iterable[roster.Presence]
+) -> bool:
+    """Returns whether a large fleet follows this instance for engine rows."""
+    instances = _staying(own_presence, live)
+    return _is_large(instances) and _first(instances).id == own_presence.id
+
+
+def _staying(
+    own_presence: roster.Presence, live: Iterable[roster.Presence]
+) -> list[roster.Presence]:
+    """Returns this instance and the live peers that aren't leaving."""
+    return [own_presence, *(peer for peer in live if not peer.is_leaving)]
+
+
+def _first(instances: Iterable[roster.Presence]) -> roster.Presence:
+    return min(instances, key=lambda instance: instance.id)
+
+
+def _is_large(instances: list[roster.Presence]) -> bool:
+    """Returns whether so many instances share the reads of one."""
+    return len(instances) > roster.MAX_DIRECT_PEERS + 1
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -368,10 +368,11 @@
 
 
 class _CountingStore:
-    """A store that counts the reads from it."""
+    """A store that counts the reads from it, and keeps their longest waits."""
 
     def __init__(self):
         self.reads = 0
+        self.waits = []
 
     async def snapshot(self, table):
         self.reads += 1
@@ -379,6 +380,7 @@
 
     async def changes(self, table, after, wait_s):
         self.reads += 1
+        self.waits.append(wait_s)
         return result.Success(interfaces.Changes((), after + 1))
 
 
@@ -402,9 +404,12 @@
     )
 
 
-def _source(answer, newest=0, is_planning=False):
-    roster = roster_lib.Roster(exchange_fixtures.presence(1, zones=1))
-    roster.merge([exchange_fixtures.presence(0, zones=1)], 0.0)
+def _source(answer, newest=0, is_planning=False, zones=1, others=(0,)):
+    roster = roster_lib.Roster(exchange_fixtures.presence(1, zones=zones))
+    roster.merge(
+        [exchange_fixtures.presence(index, zones=zones) for index in others],
+        0.0,
+    )
     store = _CountingStore()
     clock = types.SimpleNamespace(now=0.0)
     source = row_source.RowSource(
@@ -492,6 +497,22 @@
     assert not source.passes_configuration
 
 
+def test_peer_of_another_zone_does_not_vouch_for_the_configuration():
+    others = [index for index in range(12) if index != 1]
+    source, store, _ = _source(_followed(6, 3), zones=3, others=others)
+    asyncio.run(source.changes("engines", 5, 1.0))
+    assert source.parent() == "entry-000"
+    assert store.reads == 0
+    assert not source.passes_configuration
+
+
+def test_instance_that_others_follow_soon_notices_a_silent_store():
+    for others, wait_s in ((range(2, 12), 1.0), (range(2, 4), 20.0)):
+        source, store, _ = _source(_followed(6), others=others)
+        asyncio.run(source.changes("engines", 5, 20.0))
+        assert store.waits == [wait_s]
+
+
 def _follow(own_version, known_version):
     """Returns the reply to a caller that names a configuration version."""
 
