Let a third model take the idle engines that the packing chose

With three models or more the packing leaves each other model its spares, but the planner took the engines from whichever had the most, kept ones too: both loads of the new test came from one model. A placement now names from which models its engines come. The test failed before.

--- a/tamarackpier/fleet/packing.py
+++ b/tamarackpier/fleet/packing.py
@@ -128,7 +128,8 @@
         model: Name of the model.
         held: Number of free engines that hold or load its weights already.
         loads: Number of engines that have to load them.
-        reloads: Number of the latter that hold weights of other models.
+        reloads: Pairs of another model and the number of its weights' holders
+            among the latter.
     """
 
     zone: str
@@ -136,7 +137,12 @@
     model: str
     held: int
     loads: int
-    reloads: int
+    reloads: tuple[tuple[str, int], ...]
+
+    @property
+    def reload_count(self) -> int:
+        """Number of engines that exchange weights of other models."""
+        return sum(count for _, count in self.reloads)
 
 
 def place(
@@ -163,7 +169,7 @@
         domain, placement = choice
         placements.append(placement)
         groups.remove_first(domain)
-        _occupy(domain, placement, remaining)
+        _occupy(domain, placement)
         groups.add(domain)
         need = remaining[placement.model]
         remaining[placement.model] = dataclasses.replace(
@@ -330,13 +336,19 @@
         return None
     held = min(spec.span, domain.holders[spec.name])
     loads = spec.span - held
-    reloads = max(0, loads - domain.blank - domain.expected)
-    if reloads and reloads > sum(
-        _reloadable(domain, need, needs, name) for name in domain.holders
-    ):
+    left = max(0, loads - domain.blank - domain.expected)
+    reloads: list[tuple[str, int]] = []
+    if left:
+        by_count = sorted(domain.holders.items(), key=lambda item: -item[1])
+        for name, _ in by_count:
+            taken = min(left, _reloadable(domain, need, needs, name))
+            if taken:
+                reloads.append((name, taken))
+                left -= taken
+    if left:
         return None
     placement = Placement(
-        domain.zone, domain.name, spec.name, held, loads, reloads
+        domain.zone, domain.name, spec.name, held, loads, tuple(reloads)
     )
     if need.coverage < 1 or _leaves_spares(domain, placement):
         return placement
@@ -372,22 +384,17 @@
     return max(0, domain.holders[holder] - kept)
 
 
-def _occupy(
-    domain: Domain, placement: Placement, needs: Mapping[str, Need]
-) -> None:
+def _occupy(domain: Domain, placement: Placement) -> None:
     """Counts the engines of a placement as engines in a replica."""
-    need = needs[placement.model]
     domain.holders[placement.model] -= placement.held
-    left = placement.loads - placement.reloads
-    taken = min(left, domain.blank)
+    loads = placement.loads - placement.reload_count
+    taken = min(loads, domain.blank)
     domain.blank -= taken
-    domain.expected -= left - taken
-    left = placement.reloads
-    for name in sorted(domain.holders, key=lambda name: -domain.holders[name]):
-        taken = min(left, _reloadable(domain, need, needs, name))
-        domain.holders[name] -= taken
-        left -= taken
-    domain.in_replicas[placement.model] += need.spec.span
+    domain.expected -= loads - taken
+    for name, count in placement.reloads:
+        domain.holders[name] -= count
+    span = placement.held + placement.loads
+    domain.in_replicas[placement.model] += span
 
 
 def _copy(domain: Domain) -> Domain:
--- a/tamarackpier/fleet/zone_planner.py
+++ b/tamarackpier/fleet/zone_planner.py
@@ -563,20 +563,18 @@
             ),
         )
         blank = sorted(by_weights.pop("", []), key=lambda engine: engine.id)
-        loading_count = placement.loads - placement.reloads
-        others = [
-            engine
-            for _, engines in sorted(
-                by_weights.items(), key=lambda item: -len(item[1])
-            )
-            for engine in sorted(engines, key=lambda engine: engine.id)
-            if engine.id not in self.staging.loading
-        ]
-        return (
-            holders[: placement.held]
-            + blank[:loading_count]
-            + others[: placement.reloads]
-        )
+        loading_count = placement.loads - placement.reload_count
+        chosen = holders[: placement.held] + blank[:loading_count]
+        for name, count in placement.reloads:
+            others = [
+                engine
+                for engine in sorted(
+                    by_weights[name], key=lambda engine: engine.id
+                )
+                if engine.id not in self.staging.loading
+            ]
+            chosen += others[:count]
+        return chosen
 
     def _spare_loads(
         self,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -335,6 +335,34 @@
     assert loads == [(model.OrderKind.STAGE, "small")] * 3
 
 
+def test_each_model_keeps_its_own_spares_while_a_third_is_short():
+    models = tuple(
+        routing_model.ModelSpec(name, 2, 0.3, 1.0, 12.0, 1.1)
+        for name in ("one", "two", "three")
+    )
+    spec = dataclasses.replace(hosted_fixtures.SPEC, models=models)
+    idle = [
+        hosted_fixtures.record(f"{name}-{index}", staged=(name,))
+        for name in ("one", "two")
+        for index in range(3)
+    ]
+    fleet = _create_fleet(
+        [
+            *hosted_fixtures.replica_records("r1", 1, 2, model_name="one"),
+            *hosted_fixtures.replica_records("r2", 2, 2, model_name="two"),
+            *idle,
+        ],
+        spec,
+    )
+    orders = _create_planner(spec=spec).tick(fleet, {}, 0.0)
+    reloaded = [
+        order.engine.staged
+        for order in orders
+        if order.kind is model.OrderKind.STAGE
+    ]
+    assert sorted(reloaded) == [("one",), ("two",)]
+
+
 def test_survivors_that_leave_one_by_one_load_no_other_weights():
     def replica(name, fence, span, model_name):
         return [
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -57,7 +57,7 @@
     needs = [_need("large", 4, 3, 2.0), _need("small", 2, 5, 2.0)]
     placements, _ = packing.place([domain], needs)
     assert placements == [
-        packing.Placement("zone-a", "d0", "large", 3, loads=1, reloads=0)
+        packing.Placement("zone-a", "d0", "large", 3, loads=1, reloads=())
     ]
 
 
@@ -73,7 +73,7 @@
 
 def test_some_spares_of_a_replica_keep_its_weights_while_a_model_is_short():
     needs = [_need("large", 4, 1), _need("small", 3)]
-    for spare_count, reloads in ((4, 0), (5, 3)):
+    for spare_count, reloads in ((4, []), (5, [(("large", 3),)])):
         domain = _domain(
             in_replicas={"large": 4}, holders={"large": spare_count}
         )
@@ -81,9 +81,7 @@
         small = [
             placement for placement in placements if placement.model == "small"
         ]
-        assert [placement.reloads for placement in small] == (
-            [reloads] if reloads else []
-        )
+        assert [placement.reloads for placement in small] == reloads
 
 
 def test_spares_follow_the_members_that_may_fail():
@@ -111,7 +109,7 @@
     placements, _ = packing.place([domain], needs)
     assert [
         (placement.model, placement.reloads) for placement in placements
-    ] == [("large", 1)]
+    ] == [("large", (("small", 1),))]
 
 
 def test_model_that_is_hardly_worse_off_takes_no_idle_engines_of_another():
