Refuse a configuration whose replicas have no engines

A model of size 0 was taken, and the planner would have placed such replicas without end. The test failed before.

--- a/tamarackpier/platform/decode.py
+++ b/tamarackpier/platform/decode.py
@@ -158,17 +158,7 @@
 
 
 def _engine(document: Mapping[str, Any]) -> model.EngineSpec:
-    models = tuple(
-        model.ModelSpec(
-            entry["name"],
-            int(entry.get("size", 1)),
-            float(entry.get("share", 1.0)),
-            float(entry.get("pace", 1.0)),
-            float(entry.get("load_s", 0.0)),
-            float(entry.get("warm_s", 0.0)),
-        )
-        for entry in document.get("models", ())
-    )
+    models = tuple(_model(entry) for entry in document.get("models", ()))
     return model.EngineSpec(
         models,
         int(document.get("slots", 1)),
@@ -182,6 +172,22 @@
     )
 
 
+def _model(document: Mapping[str, Any]) -> model.ModelSpec:
+    span = int(document.get("size", 1))
+    if span < 1:
+        raise ValueError(
+            f"a replica of model {document['name']!r} has {span} engines"
+        )
+    return model.ModelSpec(
+        document["name"],
+        span,
+        float(document.get("share", 1.0)),
+        float(document.get("pace", 1.0)),
+        float(document.get("load_s", 0.0)),
+        float(document.get("warm_s", 0.0)),
+    )
+
+
 def _limits(document: Mapping[str, Any]) -> model.Limits:
     defaults = model.Limits()
     return model.Limits(
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -418,6 +418,18 @@
     assert scores.latency("s", 0.1, 30.0) < 0.11
 
 
+def test_configuration_of_a_model_without_engines_is_unreadable():
+    for size in (0, -4):
+        engine = {"models": [{"name": "large", "size": size}]}
+        document = {
+            "version": 1,
+            "services": [{"name": "drafts", "engine": engine}],
+        }
+        decoded = decode.configuration(json.dumps(document).encode())
+        assert decoded.failure().code is codes.BAD_CONFIGURATION
+        assert "large" in str(decoded.failure())
+
+
 def test_needless_probe_rounds_make_an_instance_more_patient():
     async def check():
         async with asyncio.timeout(None) as timeout_scope:
