Count only rounds for silence as needless

A round that a failed attempt or a suspension had started, and that found all well, made the instance more patient with silence too. The test failed before.

--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -173,7 +173,12 @@
                 key, stream_attempts.LINKS_LOST, sent_before=links_lost_at
             ):
                 continue
-            self.probe(key, f"silent for {silence_s:.2f} s too long")
+            is_running = key in self.running_probes
+            round_task = self.probe(
+                key, f"silent for {silence_s:.2f} s too long"
+            )
+            if not is_running:
+                round_task.add_done_callback(self._record_round_for_silence)
         for engine_id, silent_since in list(self.fleet.silent.items()):
             if (
                 now - self._rechecked_at.get(engine_id, silent_since)
@@ -182,6 +187,15 @@
                 self._rechecked_at[engine_id] = now
                 self._tasks.start(self._recheck(engine_id))
 
+    def _record_round_for_silence(
+        self, round_task: "asyncio.Task[ProbeResult | None]"
+    ) -> None:
+        if round_task.cancelled() or round_task.exception() is not None:
+            return
+        probe_result = round_task.result()
+        if probe_result is not None and not probe_result.reason:
+            self.streams.record_needless_round(self.clock())
+
     def probe(
         self, key: model.ReplicaKey, reason: str
     ) -> "asyncio.Task[ProbeResult | None]":
@@ -295,9 +309,7 @@
             found=probe_result.reason or "all well",
             pace=probe_result.pace,
         )
-        if not probe_result.reason:
-            self.streams.record_needless_round(now)
-        else:
+        if probe_result.reason:
             suspension = fleet_view.Suspension(
                 key,
                 now + _SUSPENSION_S,
--- a/tests/test_hosted_parts.py
+++ b/tests/test_hosted_parts.py
@@ -629,6 +629,40 @@
     assert sorted(probed_ids) == ["r1-0", "r1-1", "r1-2", "r1-3"]
 
 
+def test_only_needless_rounds_for_silence_make_an_instance_patient():
+    class FakeGateway:
+        async def report(self, engine, timeout_s):
+            return probing.result.Success(
+                model.EngineReport(engine.id, engine.membership, 0, 1, 1.0)
+            )
+
+    async def check():
+        fleet = fleet_view.FleetView()
+        fleet.set_services(hosted_fixtures.services())
+        fleet.replace(hosted_fixtures.replica_records(), 0.0)
+        streams = stream_attempts.StreamAttempts()
+        prober = probing.Prober(
+            fleet, FakeGateway(), streams, metrics.Metrics(), lambda: 5.0
+        )
+        key = model.ReplicaKey("r1", 1)
+        await prober.probe(key, "an attempt failed")
+        assert streams.current_patience(5.0) == 1.0
+        async with asyncio.timeout(None) as timeout_scope:
+            streams.add(
+                stream_attempts.StreamAttempt(
+                    "q", key, "e", timeout_scope, 4.0, 0.04, 0.0
+                ),
+                4.0,
+            )
+            streams.probed_at.clear()
+            prober.probe_silent_replicas()
+            await prober.running_probes[key]
+            await asyncio.sleep(0)
+        assert streams.current_patience(5.0) > 1.0
+
+    asyncio.run(check())
+
+
 def test_requests_queued_at_the_lead_do_not_make_a_replica_stuck():
     async def check(queued):
         class FakeGateway:
