Move the start of a deployment and the choice of engines out of the planner

A probe round that fails with an error is logged where its task is read. Two tests share their follower of a table.

--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -8,6 +8,7 @@
 import dataclasses
 from collections.abc import Awaitable, Callable, Sequence
 
+from absl import logging
 from returns import pipeline, result
 
 from tamarackpier import codes, failures, logs, metrics, tasks
@@ -190,7 +191,12 @@
     def _record_round_for_silence(
         self, round_task: "asyncio.Task[ProbeResult | None]"
     ) -> None:
-        if round_task.cancelled() or round_task.exception() is not None:
+        if round_task.cancelled():
+            return
+        error = round_task.exception()
+        if error is not None:
+            self.metrics.count("work_error", "probe round")
+            logging.error("probe round failed: %r", error)
             return
         probe_result = round_task.result()
         if probe_result is not None and not probe_result.reason:
--- a/tamarackpier/fleet/staging.py
+++ b/tamarackpier/fleet/staging.py
@@ -2,8 +2,8 @@
 
 The weight store serves few loads at a time, so loads limit how soon replicas
 are complete again after the loss of many engines. Before the first request of a
-deployment there is no limit. Which engine loads what is
-decided by the packing of the domains.
+deployment there is no limit. Which engine loads what is decided by the packing
+of the domains.
 """
 
 from collections.abc import Iterable
@@ -29,7 +29,8 @@
     Attributes:
         spec: Capacity and timing of the engines.
         planner_count: Number of planners that share the weight store.
-        active_count: Number of those that have loads to do.
+        active_count: Number of those that have loads to do, as far as this one
+            knows.
         loading: Model and start time of the load of each loading engine, by
             engine ID; the time is in seconds on the monotonic clock.
         tokens: Number of loads that may start now.
@@ -80,7 +81,7 @@
     def orders(
         self,
         planned_loads: Iterable[PlannedLoad],
-        is_unlimited: bool | None,
+        is_unlimited: bool,
         now: float,
     ) -> list[model.Order]:
         """Returns the orders for the loads to start now.
--- a/tamarackpier/fleet/zone_planner.py
+++ b/tamarackpier/fleet/zone_planner.py
@@ -8,10 +8,12 @@
 
 import collections
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping
 
 from tamarackpier.fleet import (
     demand,
+    deployment_start,
+    engine_choice,
     fleet_view,
     model,
     packing,
@@ -29,11 +31,6 @@
 # chosen any more. The engines of a wide replica don't all answer at the same
 # time; if some answers are too old for an order to join, all are asked again.
 _CHOICE_FRESH_S = 1.5
-# Time without a new engine after which the engines of a deployment that starts
-# count as complete.
-_SETTLE_S = 1.0
-# Longest wait of a planner for that; its own first engine may appear last.
-_MAX_SETTLE_S = 4.0
 
 # Refusals of an order for a reason other than the engine's present state.
 _REFUSAL_OUTCOMES = (
@@ -84,13 +81,7 @@
         self.demand = demand.Demand(spec, now)
         self._replicas: Mapping[model.ReplicaKey, model.Replica] = {}
         self._free: Mapping[str, list[model.EngineRecord]] = {}
-        self._started_at = now
-        # Whether no request has run since the engines started, without weights;
-        # None before the first engine is known.
-        self._is_deployment_starting: bool | None = None
-        self._known_count = 0
-        # Time at which an engine last appeared.
-        self._grown_at = now
+        self._start = deployment_start.DeploymentStart(zone, now)
 
     def reconfigure(
         self, spec: routing_model.EngineSpec, planner_count: int
@@ -130,7 +121,9 @@
         self._free = {domain: list(engines) for domain, engines in free.items()}
         self.staging.prune(fleet, now)
         domains = self._domains(free, fleet, now)
-        self._update_phase(domains, now)
+        self._start.update(
+            domains, self.demand.is_before_first_request, self.spec.models, now
+        )
         needs = self._needs(fleet)
         placements, packed = packing.place(domains, needs)
         loads: list[staging.PlannedLoad] = []
@@ -139,16 +132,18 @@
                 orders += self._fill(
                     placement, free[placement.domain], loads, fleet, now
                 )
-        loads += self._spare_loads(free, packed, needs)
+        for domain in packed:
+            if domain.zone == self.zone:
+                loads += engine_choice.spare_loads(
+                    domain, free.get(domain.name, ()), needs, self.staging
+                )
         self.staging.active_count = len(
             {self.zone}
             | {placement.zone for placement in placements if placement.loads}
             | {domain.zone for domain in packed if domain.blank}
         )
-        if not self._awaits_engines(now):
-            orders += self.staging.orders(
-                loads, self._is_deployment_starting, now
-            )
+        if not self._start.awaits_engines(now):
+            orders += self.staging.orders(loads, self._start.is_starting, now)
         return orders
 
     def record_outcome(
@@ -404,53 +399,6 @@
                 domain.in_replicas[engine.model] += 1
         return list(domains.values())
 
-    def _update_phase(
-        self, domains: Sequence[packing.Domain], now: float
-    ) -> None:
-        """Notes whether the deployment starts, and expects its engines then.
-
-        It starts if the first engines that this planner has seen held no
-        weights, and no request has run since. Having heard of no request alone
-        says little, as the planner may be cut off from its peers.
-        """
-        count = sum(domain.size for domain in domains)
-        if count > self._known_count:
-            self._grown_at = now
-        self._known_count = count
-        own = [domain for domain in domains if domain.zone == self.zone]
-        if self._is_deployment_starting is None and own:
-            self._is_deployment_starting = all(
-                domain.is_blank for domain in own
-            )
-        if not self.demand.is_before_first_request:
-            self._is_deployment_starting = False
-        if self._is_deployment_starting and now - self._grown_at < _SETTLE_S:
-            self._expect_engines(domains)
-
-    def _awaits_engines(self, now: float) -> bool:
-        """Returns whether to load no weights yet, as engines still appear.
-
-        Planners that see different engines would pack them differently, and
-        weights that are loaded already would keep it so.
-        """
-        return (
-            bool(self._is_deployment_starting)
-            and now - self._grown_at < _SETTLE_S
-            and now - self._started_at < _MAX_SETTLE_S
-        )
-
-    def _expect_engines(self, domains: Sequence[packing.Domain]) -> None:
-        """Adds the engines that domains lack to the largest one's size.
-
-        Engines of a deployment that starts appear one by one. Domains count as
-        large as the widest replica with its spares at least.
-        """
-        widest = max((spec.span for spec in self.spec.models), default=0)
-        full = widest + math.ceil(widest / packing.ENGINES_PER_SPARE)
-        largest = max((domain.size for domain in domains), default=0)
-        for domain in domains:
-            domain.expected = max(full, largest) - domain.size
-
     def _needs(self, fleet: fleet_view.FleetView) -> list[packing.Need]:
         """Returns what each model has and needs."""
         counts = self._replica_counts(fleet)
@@ -516,7 +464,7 @@
         spec = self.spec.model(placement.model)
         if spec is None:
             return []
-        engines = self._choose(placement, free)
+        engines = engine_choice.choose(placement, free, self.staging)
         for engine in engines:
             free.remove(engine)
         missing = [
@@ -547,64 +495,6 @@
         )
         return self._advance(formation, fleet, now)
 
-    def _choose(
-        self, placement: packing.Placement, free: list[model.EngineRecord]
-    ) -> list[model.EngineRecord]:
-        """Returns the engines of a placement, as far as they have appeared."""
-        by_weights = collections.defaultdict(list)
-        for engine in free:
-            by_weights[self.staging.model_of(engine)].append(engine)
-        holders = sorted(
-            by_weights.pop(placement.model, []),
-            key=lambda engine: (
-                engine.id in self.staging.loading,
-                _join_effort(engine, placement.model),
-                engine.id,
-            ),
-        )
-        blank = sorted(by_weights.pop("", []), key=lambda engine: engine.id)
-        loading_count = placement.loads - placement.reload_count
-        chosen = holders[: placement.held] + blank[:loading_count]
-        for name, count in placement.reloads:
-            others = [
-                engine
-                for engine in sorted(
-                    by_weights[name], key=lambda engine: engine.id
-                )
-                if engine.id not in self.staging.loading
-            ]
-            chosen += others[:count]
-        return chosen
-
-    def _spare_loads(
-        self,
-        free: Mapping[str, list[model.EngineRecord]],
-        packed: Iterable[packing.Domain],
-        needs: Sequence[packing.Need],
-    ) -> list[staging.PlannedLoad]:
-        """Returns the loads of the engines that remain as spares.
-
-        Args:
-            free: Engines of this zone in no placement, by domain.
-            packed: Domains of all zones, with the placements.
-            needs: All models.
-        """
-        loads: list[staging.PlannedLoad] = []
-        for domain in packed:
-            if domain.zone != self.zone:
-                continue
-            blank = sorted(
-                (
-                    engine
-                    for engine in free.get(domain.name, ())
-                    if not self.staging.model_of(engine)
-                ),
-                key=lambda engine: engine.id,
-            )
-            weights = packing.spare_weights(domain, needs, len(blank))
-            loads += zip(blank, weights, strict=False)
-        return loads
-
     def _start_formation(
         self,
         spec: routing_model.ModelSpec,
@@ -634,17 +524,3 @@
 ) -> bool:
     """Returns whether all known members of a replica have been released."""
     return all(retirements.is_released(engine) for _, engine in replica.members)
-
-
-def _join_effort(engine: model.EngineRecord, name: str) -> int:
-    """Returns the effort for an engine to join a replica; 0 is the least.
-
-    The effort is 0 if the model is in use and its weights are on the host, 1 if
-    only the latter is so, 2 if no weights are on the host, and 3 if only
-    weights of other models are.
-    """
-    if engine.model == name and name in engine.staged:
-        return 0
-    if name in engine.staged:
-        return 1
-    return 2 if not engine.staged else 3
--- a/tests/exchange_fixtures.py
+++ b/tests/exchange_fixtures.py
@@ -3,8 +3,8 @@
 import random
 import types
 
-from tamarackpier import quarantine
-from tamarackpier.daemon import peer_status
+from tamarackpier import metrics, quarantine
+from tamarackpier.daemon import peer_status, store_watch
 from tamarackpier.fleet import fleet_view
 from tamarackpier.peer import partners
 from tamarackpier.peer import roster as roster_lib
@@ -29,6 +29,22 @@
     return roster_lib.Presence(f"entry-{index:03}", **(values | changes))
 
 
+def table_follower(watch, clock):
+    """Returns a follower of a table that applies nothing."""
+    return store_watch.TableFollower(
+        "servers",
+        watch,
+        lambda changes: None,
+        lambda changes: None,
+        lambda: None,
+        lambda: None,
+        lambda: 0.0,
+        metrics.Metrics(),
+        random.Random(1),
+        clock,
+    )
+
+
 class Node:
     """An instance with real peer statuses and stubs for its other parts."""
 
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -16,7 +16,6 @@
     peer_status,
     row_cache,
     row_source,
-    store_watch,
     zone_lease,
 )
 from tamarackpier.fleet import departures, fleet_view, model
@@ -554,18 +553,7 @@
 def test_table_is_read_again_when_no_peer_vouches_for_it():
     async def check():
         store = _CountingStore()
-        follower = store_watch.TableFollower(
-            "op",
-            store,
-            lambda changes: None,
-            lambda changes: None,
-            lambda: None,
-            lambda: None,
-            lambda: 0.0,
-            metrics.Metrics(),
-            random.Random(1),
-            lambda: 0.0,
-        )
+        follower = exchange_fixtures.table_follower(store, lambda: 0.0)
         await follower.step()
         reads = store.reads
         follower.is_covered = lambda: True
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import random
 import time
 
 import aiohttp
@@ -13,7 +12,6 @@
 from tamarackpier.daemon import (
     quarantine_store,
     serving,
-    store_watch,
     zone_lease,
 )
 from tamarackpier.fleet import fleet_view
@@ -537,18 +535,7 @@
 
     async def check():
         watch = OtherEra()
-        follower = store_watch.TableFollower(
-            "servers",
-            watch,
-            lambda changes: None,
-            lambda changes: None,
-            lambda: None,
-            lambda: None,
-            lambda: 0.0,
-            metrics.Metrics(),
-            random.Random(1),
-            time.monotonic,
-        )
+        follower = exchange_fixtures.table_follower(watch, time.monotonic)
         task = asyncio.ensure_future(follower.run())
         await asyncio.sleep(0.5)
         task.cancel()
