--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -253,6 +253,7 @@
             )
         if not self.platform.fabric.is_reachable(self.name):
             await asyncio.sleep(3600)
+        await self.platform.wait_while_silent(self.name)
         headers = {
             name.decode(): value.decode() for name, value in scope["headers"]
         }
@@ -358,6 +359,7 @@
             await asyncio.sleep(
                 max(_EVENT_INTERVAL_S, self.platform.plain_answer_s)
             )
+            await self.platform.wait_while_silent(self.name)
             if not engine.is_alive:
                 return
             await _send_answer(
@@ -395,6 +397,7 @@
                     if self.platform.fabric.engines[self.name] is not engine:
                         return
                 await asyncio.sleep(_EVENT_INTERVAL_S)
+                await self.platform.wait_while_silent(self.name)
                 if crash_after is not None and number > crash_after:
                     self.platform.crash(
                         self.name, headers[wire.Header.REQUEST_ID]
@@ -448,6 +451,8 @@
             requests away wants no more, by its ID.
         turned_away: Times, in seconds on the monotonic clock, of the requests
             that an engine turned away so.
+        silent_until: Time, in seconds on the monotonic clock, until which an
+            engine stands still, by its ID; it loses nothing and then goes on.
         breaches: Descriptions of the invariant breaches so far.
         delayed_order_share: Share of orders that are carried out seconds later
             and not answered.
@@ -482,6 +487,7 @@
         )
         self.retry_after: dict[str, str] = {}
         self.turned_away: dict[str, list[float]] = collections.defaultdict(list)
+        self.silent_until: dict[str, float] = {}
         self.breaches: list[str] = []
         self.delayed_order_share = 0.0
         self.rng = random.Random(0)
@@ -522,6 +528,15 @@
         self._restarts.add(restart)
         restart.add_done_callback(self._restarts.discard)
 
+    def silence(self, name: str, duration_s: float) -> None:
+        """Lets an engine stand still for some seconds; nothing is lost."""
+        self.silent_until[name] = time.monotonic() + duration_s
+
+    async def wait_while_silent(self, name: str) -> None:
+        """Returns when an engine doesn't stand still."""
+        while (end := self.silent_until.get(name, 0.0)) > time.monotonic():
+            await asyncio.sleep(end - time.monotonic())
+
     async def _restart(self, name: str) -> None:
         if self.crashes_silently:
             await asyncio.sleep(_SILENT_RESTART_DELAY_S)
--- /dev/null
+++ b/tests/test_silent_engines.py
@@ -0,0 +1,142 @@
+"""Tests that an engine's short silence ends no answer."""
+
+import asyncio
+import dataclasses
+import time
+
+import aiohttp
+
+from tests import deployment_fixtures
+
+SILENCE_S = 1.2
+EVENT_COUNT = 60  # An answer takes 0.6 s.
+STREAM_COUNT = 6
+ONLY_LARGE = dataclasses.replace(
+    deployment_fixtures.FAST_SPEC, models=deployment_fixtures.FAST_MODELS[:1]
+)
+SERVICES = {
+    **deployment_fixtures.SERVICES,
+    "drafts": dataclasses.replace(
+        deployment_fixtures.SERVICES["drafts"], engine=ONLY_LARGE
+    ),
+}
+WHOLE_ANSWER = b"".join(
+    b"id: %d\ndata: e%d\n\n" % (number, number)
+    for number in range(1, EVENT_COUNT + 1)
+)
+
+
+def _members(platform, rank):
+    """Returns the IDs of the engines that have a rank in their replica."""
+    return sorted(
+        name
+        for name, engine in platform.fabric.engines.items()
+        if engine.membership is not None and engine.membership.rank == rank
+    )
+
+
+async def _answer(deployment, request_id):
+    """Returns the status and body of an answer; no body if it is cut off."""
+    try:
+        response, body = await deployment.post(
+            "/draft/1", request_id, count=EVENT_COUNT
+        )
+    except aiohttp.ClientPayloadError:
+        return 200, None
+    return response.status, body
+
+
+async def _start_streams(deployment, domain_count, **route_changes):
+    """Returns the tasks of streams that have begun."""
+    platform = deployment.platform
+    stream_route, *others = deployment_fixtures.ROUTES
+    routes = (dataclasses.replace(stream_route, **route_changes), *others)
+    platform.configure(
+        deployment_fixtures.configuration(2, routes=routes, services=SERVICES)
+    )
+    await deployment.until(
+        lambda: (
+            deployment.serving() == [domain_count]
+            and deployment.instances[0].configuration.version > 0
+            and deployment.instances[0].relay.routing.configuration.routes
+            == routes
+        )
+    )
+    tasks = [
+        asyncio.ensure_future(_answer(deployment, f"r{index}"))
+        for index in range(STREAM_COUNT)
+    ]
+    await deployment.until(
+        lambda: all(platform.ran[f"r{index}"] for index in range(STREAM_COUNT))
+    )
+    await asyncio.sleep(0.1)
+    return tasks
+
+
+def _check_streams_outlast(silence, domain_count=1, **route_changes):
+    """Checks that streams are answered whole though engines fall silent.
+
+    Args:
+        silence: Coroutine function that lets engines of a platform fall silent.
+        domain_count: Number of domains, each with a replica.
+        **route_changes: Fields of the streams' route.
+    """
+
+    async def check(deployment):
+        tasks = await _start_streams(deployment, domain_count, **route_changes)
+        await silence(deployment.platform)
+        for answer in await asyncio.gather(*tasks):
+            assert answer == (200, WHOLE_ANSWER)
+
+    deployment_fixtures.run(check, count=1, domain_count=domain_count)
+
+
+async def _silence_leads(platform):
+    for lead in _members(platform, rank=0):
+        platform.silence(lead, SILENCE_S)
+
+
+def test_streams_of_the_only_replica_outlast_its_silence():
+    _check_streams_outlast(_silence_leads)
+
+
+def test_streams_of_all_replicas_outlast_their_silence():
+    _check_streams_outlast(_silence_leads, domain_count=2)
+
+
+def test_streams_outlast_the_silence_of_one_replica_after_another():
+    async def silence(platform):
+        for lead in _members(platform, rank=0):
+            platform.silence(lead, SILENCE_S)
+            await asyncio.sleep(0.35)
+
+    _check_streams_outlast(silence, domain_count=2)
+
+
+def test_streams_that_may_not_be_resumed_outlast_a_silence():
+    _check_streams_outlast(_silence_leads, is_resumable=False)
+
+
+def test_streams_that_may_not_be_resumed_outlast_the_silence_of_a_member():
+    async def silence(platform):
+        for member in _members(platform, rank=1):
+            platform.silence(member, SILENCE_S)
+
+    _check_streams_outlast(silence, is_resumable=False)
+
+
+def test_streams_without_attempts_left_outlast_a_silence():
+    _check_streams_outlast(_silence_leads, domain_count=2, max_attempts=1)
+
+
+def test_streams_end_at_once_when_a_member_has_ended():
+    async def check(deployment):
+        platform = deployment.platform
+        tasks = await _start_streams(deployment, 1, is_resumable=False)
+        ended_at = time.monotonic()
+        platform.crash(_members(platform, rank=1)[0], "")
+        answers = await asyncio.gather(*tasks)
+        assert answers == [(200, None)] * STREAM_COUNT
+        assert time.monotonic() - ended_at < SILENCE_S
+
+    deployment_fixtures.run(check, count=1)
