Hold streams at a silent replica that can't go on elsewhere

Callers saw streams broken off without an end, which had begun or not, when an engine stood still for about a second and went on: on routes without resumption, and where the attempts or the retry budget were used up.

Cause: silence was taken for death. A probe round waits for 0.13 s; members that don't answer suspend their replica, and all its streams were interrupted before anything decided whether they may be sent again. Within a second more, the planner had the members leave, which ends the answer for good.

Now an interrupted attempt ends only if its stream can go on at another replica now, or if it is proved that this one won't go on: a member has ended, or says that it is elsewhere or broken. Otherwise it is held, until data comes, another replica can take it, or its time is over. Each instance tells its peers how many of its streams can't be sent to another replica; for up to 2 s a planner keeps a replica that is only silent if there are any. Replicas without such streams are formed anew as before.

--- a/tamarackpier/daemon/peer_status.py
+++ b/tamarackpier/daemon/peer_status.py
@@ -3,8 +3,9 @@
 import binascii
 import dataclasses
 import functools
+import itertools
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from tamarackpier import logs
 from tamarackpier.daemon import probing, zone_controller
@@ -357,6 +358,9 @@
                 max(0, usage.running) for usage in engine_usages.values()
             ],
             lacks_links=not self.has_links(),
+            bound=_unless_all_zero(
+                usage.bound for usage in replica_usages.values()
+            ),
         )
 
     def _peers_to_introduce(
@@ -438,16 +442,27 @@
     ) -> None:
         self._update_hashes()
         replica_keys_by_hash = self._replica_keys_by_hash
+        # A peer without such requests, or of an earlier build, sends none.
+        bound = state.bound or itertools.repeat(0)
         replicas = zip(
-            state.replicas, state.running, state.reading_tokens, strict=False
+            state.replicas,
+            state.running,
+            state.reading_tokens,
+            bound,
+            strict=False,
         )
         self.relay.replica_loads.update_peer(
             peer_id,
             {
                 replica_keys_by_hash[replica_hash]: load.Usage(
-                    running, reading_tokens
+                    running, reading_tokens, bound_count
                 )
-                for replica_hash, running, reading_tokens in replicas
+                for (
+                    replica_hash,
+                    running,
+                    reading_tokens,
+                    bound_count,
+                ) in replicas
                 if replica_hash in replica_keys_by_hash
             },
             now,
@@ -622,3 +637,9 @@
         presence.is_ready,
         presence.is_leaving,
     )
+
+
+def _unless_all_zero(counts: Iterable[int]) -> list[int]:
+    """Returns counts; none if all are zero."""
+    values = [max(0, count) for count in counts]
+    return values if any(values) else []
--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -28,6 +28,8 @@
 _MAX_LOOP_LAG_S = 0.04
 _MAX_SERIES = 3  # Maximum number of series of tries for one engine.
 _SUSPENSION_S = 3.0  # The platform drops a dead engine's row after 3.6 s.
+# Time between two checks whether streams held at silent replicas can move.
+_HELD_CHECK_S = 0.2
 # Time between two probes of an engine that did not answer.
 _RECHECK_INTERVAL_S = 0.7
 # Time after a probe round during which failed attempts and polls start none.
@@ -49,6 +51,8 @@
         queued: Number of requests that wait for a slot at the replica's lead.
         ended: IDs of the members whose process has ended: their port is closed,
             or they have started again.
+        is_lost: Whether it is proved that the replica won't go on. Silence
+            proves nothing.
     """
 
     silent: tuple[str, ...]
@@ -57,6 +61,7 @@
     pace: float
     queued: int = 0
     ended: tuple[str, ...] = ()
+    is_lost: bool = False
 
 
 ReportResult = result.Result[model.EngineReport, codes.Fault]
@@ -96,6 +101,7 @@
             reason = f"{member.id} is broken"
         elif membership.state is model.MemberState.CLOSING:
             closing_reason = f"{member.id} is closing"
+    is_lost = bool(ended or reason)
     if silent:
         reason = f"{', '.join(silent)} did not answer"
     return ProbeResult(
@@ -105,6 +111,7 @@
         pace,
         queued,
         tuple(ended),
+        is_lost,
     )
 
 
@@ -163,11 +170,15 @@
             model.ReplicaKey, asyncio.Task[ProbeResult | None]
         ] = {}
         self._rechecked_at: dict[str, float] = {}
+        self._held_checked_at = 0.0
         self._tasks = tasks.Tasks()
 
     def probe_silent_replicas(self) -> None:
         """Starts a probe round for each silent replica and rechecks engines."""
         now = self.clock()
+        if now - self._held_checked_at > _HELD_CHECK_S:
+            self._held_checked_at = now
+            self.streams.move_held()
         links_lost_at = self.links_lost_at()
         for key, silence_s in self.streams.silent(now):
             if links_lost_at is not None and self.streams.interrupt(
@@ -315,6 +326,8 @@
             found=probe_result.reason or "all well",
             pace=probe_result.pace,
         )
+        if probe_result.is_lost:
+            self.streams.interrupt(key, probe_result.reason, is_lost=True)
         if probe_result.reason:
             suspension = fleet_view.Suspension(
                 key,
--- a/tamarackpier/daemon/zone_controller.py
+++ b/tamarackpier/daemon/zone_controller.py
@@ -20,6 +20,11 @@
 
 _ORDER_TIMEOUT_S = 0.3  # 30 times the 10 ms that an answer takes.
 _VERIFY_INTERVAL_S = 1.0  # Time between probe rounds for one suspension.
+# The same for a silent replica that is kept for requests that are bound to it.
+_KEPT_VERIFY_INTERVAL_S = 0.25
+# Silence after which a replica is given up although requests are bound to it.
+# The platform's engines may stand still for a second or so and go on.
+_MAX_SOUND_SILENCE_S = 2.0
 # Characters of the instance ID that names of replicas include.
 _MAX_ID_CHARACTERS = 40
 
@@ -36,6 +41,8 @@
         zone_count: Returns the number of zones with model engines.
         running: Returns the number of requests in flight at replicas, over all
             instances, by model.
+        bound_at: Returns the number of requests at a replica that can't be sent
+            to another one, over all instances.
     """
 
     def __init__(
@@ -49,6 +56,7 @@
         routing: Callable[[], table.RoutingTable | None],
         zone_count: Callable[[], int],
         running: Callable[[], Mapping[str, int]],
+        bound_at: Callable[[model.ReplicaKey], int],
         counts: metrics.Metrics,
         clock: Callable[[], float],
     ) -> None:
@@ -59,6 +67,7 @@
         self.routing = routing
         self.zone_count = zone_count
         self.running = running
+        self.bound_at = bound_at
         self.metrics = counts
         self.clock = clock
         self.lease = zone_lease.ZoneLease(
@@ -82,6 +91,7 @@
         self._tasks = tasks.Tasks()
         self._verifications: set[model.ReplicaKey] = set()
         self._verified_at: dict[model.ReplicaKey, float] = {}
+        self._silent_since: dict[model.ReplicaKey, float] = {}
 
     @property
     def is_planning(self) -> bool:
@@ -188,6 +198,8 @@
         now = self.clock()
         for key in set(self._verified_at) - set(self.fleet.suspended):
             del self._verified_at[key]
+        for key in set(self._silent_since) - set(self.fleet.suspended):
+            del self._silent_since[key]
         for key, suspension in self.fleet.suspended.items():
             replica = self.fleet.replicas().get(key)
             if replica is None or key in self._verifications:
@@ -199,7 +211,13 @@
             if planner.needs_no_check(key):
                 continue
             elapsed_s = now - self._verified_at.get(key, float("-inf"))
-            if elapsed_s < _VERIFY_INTERVAL_S:
+            interval_s = _VERIFY_INTERVAL_S
+            if key in self._silent_since:
+                if not self.bound_at(key):
+                    planner.confirm_failed(key)
+                    continue
+                interval_s = _KEPT_VERIFY_INTERVAL_S
+            if elapsed_s < interval_s:
                 continue
             self._verified_at[key] = now
             self._verifications.add(key)
@@ -215,12 +233,32 @@
     ) -> None:
         try:
             probe_result = await self.prober.probe(key, f"suspended: {reason}")
-            if probe_result is not None and probe_result.must_reform:
+            if probe_result is None or not probe_result.must_reform:
+                self._silent_since.pop(key, None)
+            elif self._may_go_on(key, probe_result):
+                logs.event(
+                    "silent replica kept",
+                    replica=key.replica,
+                    fence=key.fence,
+                    bound=self.bound_at(key),
+                    found=probe_result.reason,
+                )
+            else:
                 planner.confirm_failed(key)
                 self.plan()
         finally:
             self._verifications.discard(key)
 
+    def _may_go_on(
+        self, key: model.ReplicaKey, probe_result: probing.ProbeResult
+    ) -> bool:
+        """Returns whether a silent replica is kept for requests bound to it."""
+        if probe_result.is_lost or not self.bound_at(key):
+            return False
+        now = self.clock()
+        silent_since = self._silent_since.setdefault(key, now)
+        return now - silent_since < _MAX_SOUND_SILENCE_S
+
     async def _send_order(
         self, planner: zone_planner.ZonePlanner, order: model.Order
     ) -> None:
--- a/tamarackpier/traffic/budget.py
+++ b/tamarackpier/traffic/budget.py
@@ -80,10 +80,14 @@
         """Counts a request to the service."""
         self._bucket(now)[1] += 1
 
+    def has_left(self, now: float) -> bool:
+        """Returns whether a retry is left in the budget."""
+        usage = self.usage(now)
+        return usage.retries + 1 <= usage.limit
+
     def spend(self, now: float) -> bool:
         """Takes one retry from the budget; returns whether one was left."""
-        usage = self.usage(now)
-        if usage.retries + 1 > usage.limit:
+        if not self.has_left(now):
             return False
         self._bucket(now)[2] += 1
         return True
--- a/tamarackpier/traffic/load.py
+++ b/tamarackpier/traffic/load.py
@@ -19,16 +19,19 @@
         running: Number of requests sent and not ended.
         reading_tokens: Prompt tokens of the requests without an event yet,
             whose prompts the upstream is still reading.
+        bound: Number of requests that can't be sent to another upstream.
     """
 
     running: int = 0
     reading_tokens: int = 0
+    bound: int = 0
 
     def plus(self, other: "Usage") -> "Usage":
         """Returns the sum of this usage and the other."""
         return Usage(
             self.running + other.running,
             self.reading_tokens + other.reading_tokens,
+            self.bound + other.bound,
         )
 
     def minus(self, other: "Usage") -> "Usage":
@@ -36,6 +39,7 @@
         return Usage(
             self.running - other.running,
             self.reading_tokens - other.reading_tokens,
+            self.bound - other.bound,
         )
 
 
@@ -74,6 +78,14 @@
         """
         self._add(upstream, Usage(-1, -prompt_tokens))
 
+    def bind(self, upstream: K) -> None:
+        """Counts a request that can't be sent to another upstream."""
+        self._add(upstream, Usage(bound=1))
+
+    def unbind(self, upstream: K) -> None:
+        """Removes a request that was counted by `bind`."""
+        self._add(upstream, Usage(bound=-1))
+
     def update_peer(
         self, peer_id: str, usages: Mapping[K, Usage], now: float
     ) -> None:
@@ -117,7 +129,7 @@
 
     def _add(self, upstream: K, change: Usage) -> None:
         usage = self.own_usages.get(upstream, _NO_USAGE).plus(change)
-        if usage.running <= 0 and usage.reading_tokens <= 0:
+        if max(usage.running, usage.reading_tokens, usage.bound) <= 0:
             self.own_usages.pop(upstream, None)
         else:
             self.own_usages[upstream] = usage
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -380,12 +380,32 @@
         """
         now = self.clock()
         verdict = self._check_suspicion(run, now)
-        request = run.request
+        run.is_isolated = verdict is quarantine.Verdict.ALONE
         criteria = selection.SelectionCriteria(
             self.settings.availability_zone,
-            request.prompt_tokens,
+            run.request.prompt_tokens,
             run.route.objective_s,
         )
+        available = self._available_candidates(run, criteria, verdict, now)
+        chooser = selection.CHOOSERS.get(self.settings.chooser)
+        chosen = chooser(available, criteria, self.rng)
+        self._check_time_left(run, chosen, self.engine_spec(run.service), now)
+        self.limits.take(chosen.engine)
+        return chosen
+
+    def _available_candidates(
+        self,
+        run: run_lib.Run,
+        criteria: selection.SelectionCriteria,
+        verdict: quarantine.Verdict,
+        now: float,
+    ) -> list[selection.Candidate]:
+        """Returns the untried upstreams that can take a request.
+
+        Raises:
+            run_lib.RefusedError: There are none.
+        """
+        request = run.request
         spec = self.engine_spec(run.service)
         if spec is not None and request.model:
             candidates = selection.replica_candidates(
@@ -417,8 +437,7 @@
             )
             if untried:
                 untried = self._candidates_within_limits(run, admitting, now)
-        run.is_isolated = verdict is quarantine.Verdict.ALONE
-        if run.is_isolated:
+        if verdict is quarantine.Verdict.ALONE:
             untried = self._isolated_candidates(run, untried)
         available = [
             candidate
@@ -426,11 +445,7 @@
             if candidate.has_capacity or run.may_have_run
         ]
         if available:
-            chooser = selection.CHOOSERS.get(self.settings.chooser)
-            chosen = chooser(available, criteria, self.rng)
-            self._check_time_left(run, chosen, spec, now)
-            self.limits.take(chosen.engine)
-            return chosen
+            return available
         if untried:
             raise run_lib.refusal(
                 codes.UPSTREAMS_FULL,
@@ -740,34 +755,75 @@
             max_attempts=run.route.max_attempts,
         )
 
-    def may_retry(self, run: run_lib.Run, reason: str) -> bool:
-        """Returns whether a request may be retried.
-
-        If so, takes the retry from the retry budget.
+    def is_bound(self, run: run_lib.Run, is_counted: bool) -> bool:
+        """Returns whether a running stream can't go on at another upstream.
 
         Args:
             run: State of the request.
-            reason: Short name of the failure, for counters and logs.
+            is_counted: Whether its present attempt counts against the route's
+                `max_attempts` if it ends now.
         """
+        counted_attempts = run.counted_attempts + is_counted
+        return not run.route.is_resumable or bool(
+            self._retry_obstacle(run, counted_attempts)
+        )
+
+    def has_other_upstream(self, run: run_lib.Run) -> bool:
+        """Returns whether an upstream could take over a running stream."""
+        now = self.clock()
+        criteria = selection.SelectionCriteria(
+            self.settings.availability_zone,
+            run.request.prompt_tokens,
+            run.route.objective_s,
+        )
         try:
-            self._check_suspicion(run, self.clock())
+            verdict = self._check_suspicion(run, now)
+            self._available_candidates(run, criteria, verdict, now)
         except run_lib.RefusedError:
-            self.metrics.count("not_repeated", "crash_suspect")
             return False
+        return True
+
+    def _retry_obstacle(self, run: run_lib.Run, counted_attempts: int) -> str:
+        """Returns the short name of why a request may not be retried.
+
+        It is empty if the request may be.
+
+        Args:
+            run: State of the request.
+            counted_attempts: Attempts that count against the route's
+                `max_attempts`.
+        """
+        now = self.clock()
+        try:
+            self._check_suspicion(run, now)
+        except run_lib.RefusedError:
+            return "crash_suspect"
         if run.is_isolated and run.may_have_run:
             # Whether it has ended its upstream is not known yet.
-            self.metrics.count("not_repeated", "crash_suspect")
-            return False
+            return "crash_suspect"
         if len(run.tried) >= _MAX_SENDS:
-            self.metrics.count("not_repeated", "most_sends")
-            return False
-        if run.counted_attempts >= run.route.max_attempts:
-            self.metrics.count("not_repeated", "attempts")
+            return "most_sends"
+        if counted_attempts >= run.route.max_attempts:
+            return "attempts"
+        if not self.retry_budget(run.service).has_left(now):
+            return "budget"
+        return ""
+
+    def may_retry(self, run: run_lib.Run, reason: str) -> bool:
+        """Returns whether a request may be retried.
+
+        If so, takes the retry from the retry budget.
+
+        Args:
+            run: State of the request.
+            reason: Short name of the failure, for counters and logs.
+        """
+        obstacle = self._retry_obstacle(run, run.counted_attempts)
+        if obstacle:
+            self.metrics.count("not_repeated", obstacle)
             return False
         service_budget = self.retry_budget(run.service)
-        if not service_budget.spend(self.clock()):
-            self.metrics.count("not_repeated", "budget")
-            return False
+        service_budget.spend(self.clock())
         self.metrics.count("repeated", reason)
         usage = service_budget.usage(self.clock())
         logs.decision(
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -136,11 +136,26 @@
     if candidate.key is None:
         yield stream_attempt
         return
+
+    def can_move(reason: str) -> bool:
+        is_counted = _move_name(stream_attempt, reason) != _MOVED_BEFORE_START
+        is_bound = relay.is_bound(run, is_counted)
+        if is_bound and not stream_attempt.is_bound:
+            stream_attempt.is_bound = True
+            relay.replica_loads.bind(stream_attempt.key)
+        return not is_bound and relay.has_other_upstream(run)
+
+    stream_attempt.can_move = can_move
     relay.streams.add(stream_attempt, relay.clock())
+    stream_attempt.is_bound = relay.is_bound(run, is_counted=True)
+    if stream_attempt.is_bound:
+        relay.replica_loads.bind(stream_attempt.key)
     try:
         yield stream_attempt
     finally:
         relay.streams.remove(stream_attempt)
+        if stream_attempt.is_bound:
+            relay.replica_loads.unbind(stream_attempt.key)
 
 
 async def _run_attempt(
@@ -171,13 +186,17 @@
         if not stream_attempt.move_reason:
             raise
         raise run_lib.AttemptFailedError(
-            _move_name(stream_attempt), stream_attempt.move_reason, False
+            _move_name(stream_attempt, stream_attempt.move_reason),
+            stream_attempt.move_reason,
+            False,
         ) from None
 
 
-def _move_name(stream_attempt: stream_attempts.StreamAttempt) -> str:
-    """Returns the short name of the reason why an attempt was moved."""
-    if stream_attempt.move_reason == stream_attempts.STUCK:
+def _move_name(
+    stream_attempt: stream_attempts.StreamAttempt, reason: str
+) -> str:
+    """Returns the short name of the reason why an attempt is moved."""
+    if reason == stream_attempts.STUCK:
         return "stuck"
     # A replica that has lost a member starts none of the requests that it gets
     # later.
@@ -230,7 +249,7 @@
                 continue
             now = relay.clock()
             relay.streams.record_data(key, now)
-            stream_attempt.waiting_since = None
+            stream_attempt.receive()
             if unread_tokens and data:
                 relay.replica_loads.finish_reading(key, unread_tokens)
                 unread_tokens = 0
--- a/tamarackpier/traffic/stream_attempts.py
+++ b/tamarackpier/traffic/stream_attempts.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import math
+from collections.abc import Callable
 
 from tamarackpier.fleet import model
 
@@ -69,6 +70,10 @@
             was sent: a stream that it was running was overdue.
         sent_at: Time at which the attempt began, in seconds on the relay's
             clock.
+        can_move: Returns whether the stream could go on at another replica if
+            its attempt ended for a reason.
+        held_reason: Why the stream would move if it could; empty if it needn't.
+        is_bound: Whether the stream can't go on at any other replica.
     """
 
     request_id: str
@@ -82,12 +87,35 @@
     has_received_data: bool = False
     was_stalled_at_start: bool = False
     sent_at: float = 0.0
+    can_move: Callable[[str], bool] = lambda reason: True
+    held_reason: str = ""
+    is_bound: bool = False
 
-    def interrupt(self, reason: str) -> None:
-        """Ends the attempt, so that the stream resumes at another replica."""
+    def interrupt(self, reason: str, is_lost: bool = False) -> bool:
+        """Ends the attempt if the stream can resume at another replica.
+
+        Otherwise the attempt is held: an engine that is silent may go on.
+
+        Args:
+            reason: Why the stream should resume elsewhere.
+            is_lost: Whether it is proved that the replica won't go on, so that
+                the attempt ends in any case.
+
+        Returns:
+            Whether the attempt ends.
+        """
+        if not is_lost and not self.move_reason and not self.can_move(reason):
+            self.held_reason = reason
+            return False
         if not self.move_reason:
             self.move_reason = reason
             self.scope.reschedule(asyncio.get_running_loop().time())
+        return True
+
+    def receive(self) -> None:
+        """Records that data has arrived."""
+        self.waiting_since = None
+        self.held_reason = ""
 
 
 class StreamAttempts:
@@ -143,6 +171,13 @@
         """Records that a replica sent data."""
         self.last_data_at[key] = now
 
+    def move_held(self) -> None:
+        """Ends the held attempts whose streams can now resume elsewhere."""
+        for attempts in self.by_key.values():
+            for attempt in attempts:
+                if attempt.held_reason:
+                    attempt.interrupt(attempt.held_reason)
+
     def silent(self, now: float) -> list[tuple[model.ReplicaKey, float]]:
         """Returns the silent replicas that are due for a probe round.
 
@@ -186,23 +221,27 @@
         key: model.ReplicaKey,
         reason: str,
         sent_before: float = math.inf,
+        is_lost: bool = False,
     ) -> int:
-        """Ends the attempts at a replica; returns their number.
+        """Ends the attempts at a replica whose streams can resume elsewhere.
 
         Args:
             key: Key of the replica.
             reason: Why the streams have to resume at another replica.
             sent_before: Time from which attempts have begun that go on, in
                 seconds on the relay's clock.
+            is_lost: Whether it is proved that the replica won't go on; then
+                all attempts end.
+
+        Returns:
+            The number of attempts that end.
         """
         attempts = [
             attempt
             for attempt in self.by_key.get(key, ())
             if attempt.sent_at < sent_before
         ]
-        for attempt in attempts:
-            attempt.interrupt(reason)
-        return len(attempts)
+        return sum(attempt.interrupt(reason, is_lost) for attempt in attempts)
 
     def keep_only(self, known: set[model.ReplicaKey]) -> None:
         """Forgets the replicas that are not in `known`."""
