Name models that are wider than every fabric domain

Callers of a model whose replicas span more engines than any domain has are refused (3104), and nothing in the log said that waiting won't help. The planner names these models now, once per change, as 5012 replica_too_wide; the others are placed as before. Tested without a network (the function is new, so its test couldn't run before).

--- a/tamarackpier/codes.py
+++ b/tamarackpier/codes.py
@@ -579,6 +579,13 @@
     _LATER,
     "The table no longer has the requested changes; read it in full.",
 )
+REPLICA_TOO_WIDE = _define(
+    5012,
+    "replica_too_wide",
+    503,
+    _LATER,
+    "No fabric domain has as many engines as a replica of the model spans.",
+)
 
 COMMAND_UNREACHABLE = _define(
     6001, "command_unreachable", 503, _LATER, "No entry instance responded."
--- a/tamarackpier/daemon/zone_controller.py
+++ b/tamarackpier/daemon/zone_controller.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
-from tamarackpier import logs, metrics, tasks
+from tamarackpier import codes, logs, metrics, tasks
 from tamarackpier.daemon import (
     engine_poller,
     join_questions,
@@ -88,6 +88,7 @@
         )
         self.planners: dict[str, zone_planner.ZonePlanner] = {}
         self._summaries: dict[str, dict[str, object]] = {}
+        self._too_wide: dict[str, tuple[str, ...]] = {}
         self._tasks = tasks.Tasks()
         self._verifications: set[model.ReplicaKey] = set()
         self._verified_at: dict[model.ReplicaKey, float] = {}
@@ -143,6 +144,7 @@
             planner.reconfigure(service.engine, self.zone_count())
             planner.next_fence = max(planner.next_fence, self.lease.first_fence)
             orders = planner.tick(self.fleet, self.running(), now)
+            self._log_too_wide(planner)
             summary = planner.summary(self.fleet)
             if summary != self._summaries.get(service.name):
                 self._summaries[service.name] = summary
@@ -151,6 +153,22 @@
                 self._tasks.start(self._send_order(planner, order))
             self.join_questions.ask(planner)
 
+    def _log_too_wide(self, planner: zone_planner.ZonePlanner) -> None:
+        """Logs which models can't be served, when that has changed."""
+        known = self._too_wide.get(planner.service, ())
+        if planner.too_wide == known:
+            return
+        self._too_wide[planner.service] = planner.too_wide
+        code = codes.REPLICA_TOO_WIDE
+        self.metrics.count(code.name)
+        logs.event(
+            "models fit no fabric domain",
+            code=code.number,
+            service=planner.service,
+            zone=self.zone,
+            models=planner.too_wide,
+        )
+
     async def release(self) -> None:
         """Releases the lease so that another instance can plan at once."""
         await self.lease.release()
--- a/tamarackpier/fleet/packing.py
+++ b/tamarackpier/fleet/packing.py
@@ -28,6 +28,7 @@
     "Placement",
     "place",
     "spare_weights",
+    "too_wide",
 ]
 
 # Engines of a domain for each that it keeps as a spare, and the least number of
@@ -145,6 +146,14 @@
         return sum(count for _, count in self.reloads)
 
 
+def too_wide(
+    domains: Iterable[Domain], models: Iterable[routing_model.ModelSpec]
+) -> tuple[str, ...]:
+    """Returns the names of the models whose replicas fit into no domain."""
+    widest = max((domain.size for domain in domains), default=0)
+    return tuple(spec.name for spec in models if spec.span > widest)
+
+
 def place(
     domains: Iterable[Domain], needs: Sequence[Need]
 ) -> tuple[list[Placement], list[Domain]]:
--- a/tamarackpier/fleet/zone_planner.py
+++ b/tamarackpier/fleet/zone_planner.py
@@ -56,6 +56,8 @@
         unconfirmed: IDs of the engines that would be ordered to join if they
             said that they are in no replica.
         demand: Estimate of the replicas that the load needs.
+        too_wide: Names of the models whose replicas fit into no domain; empty
+            while engines still appear.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         self.staging = staging.Staging(spec, max(1, planner_count), now)
         self.unconfirmed: set[str] = set()
         self.demand = demand.Demand(spec, now)
+        self.too_wide: tuple[str, ...] = ()
         self._replicas: Mapping[model.ReplicaKey, model.Replica] = {}
         self._free: Mapping[str, list[model.EngineRecord]] = {}
         self._start = deployment_start.DeploymentStart(zone, now)
@@ -124,6 +127,8 @@
         self._start.update(
             domains, self.demand.is_before_first_request, self.spec.models, now
         )
+        if domains and not self._start.awaits_engines(now):
+            self.too_wide = packing.too_wide(domains, self.spec.models)
         needs = self._needs(fleet)
         placements, packed = packing.place(domains, needs)
         loads: list[staging.PlannedLoad] = []
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -153,6 +153,15 @@
     assert calls < 20 * len(placements)
 
 
+def test_model_wider_than_every_domain_is_named_and_the_other_is_placed():
+    needs = [_need("wide", 12), _need("narrow", 2)]
+    domains = _blank_domains(2, 8)
+    models = [need.spec for need in needs]
+    assert packing.too_wide(domains, models) == ("wide",)
+    placements, _ = packing.place(domains, needs)
+    assert _count_by_model(placements).keys() == {"narrow"}
+
+
 def test_models_of_equal_span_share_the_domains():
     needs = [_need("one", 4), _need("two", 4)]
     placements, _ = packing.place(_blank_domains(4, 4), needs)
