Let the stand-in's leads finish what runs when they close, and cut it when they leave

A stream went on when its engine had left the replica and joined another, so that tests of answers couldn't see an order to leave; and a replica closed at once. Now an order to close waits for the running streams, as on the platform, and a stream ends with its replica.

--- a/tamarackpier/standin/fabric.py
+++ b/tamarackpier/standin/fabric.py
@@ -52,6 +52,7 @@
             None while the replica can serve.
         loading: Model whose weights it loads for a `STAGE` order, and the time
             at which the load ends; None if it loads none.
+        running: Number of streams that it runs as a lead.
     """
 
     record: model.EngineRecord
@@ -66,6 +67,7 @@
     open_at: float | None = None
     stalled_at: float | None = None
     loading: tuple[str, float] | None = None
+    running: int = 0
 
     @property
     def membership(self) -> model.Membership | None:
@@ -236,9 +238,14 @@
             return model.OrderOutcome.ACCEPTED
         if order.kind is model.OrderKind.OPEN:
             return self._open(engine, order.key)
-        # The remaining kind is CLOSE. The replica closes at once: the state
-        # CLOSING does not occur.
-        self._set_state(engine, model.MemberState.READY)
+        # The remaining kind is CLOSE. Running streams are finished first.
+        is_running = engine.running > 0
+        self._set_state(
+            engine,
+            model.MemberState.CLOSING
+            if is_running
+            else model.MemberState.READY,
+        )
         return model.OrderOutcome.ACCEPTED
 
     def _stage(
@@ -317,7 +324,10 @@
                 or lead_membership.rank
             ):
                 continue
-            is_open = lead_membership.state is model.MemberState.OPEN
+            is_open = lead_membership.state in (
+                model.MemberState.OPEN,
+                model.MemberState.CLOSING,
+            )
             if lead.is_alive and is_open:
                 raise FabricInvariantError(
                     f"{engine.record.id} joins {key} "
@@ -341,6 +351,8 @@
         if engine.open_at is not None and engine.open_at <= self.now:
             engine.open_at = None
             self._set_state(engine, model.MemberState.OPEN)
+        if membership.state is model.MemberState.CLOSING and not engine.running:
+            self._set_state(engine, model.MemberState.READY)
         stalled_at = engine.stalled_at
         if stalled_at is not None and self.now - stalled_at >= _BROKEN_AFTER_S:
             self._set_state(engine, model.MemberState.BROKEN)
@@ -352,7 +364,8 @@
             if engine.is_alive
             and engine.membership is not None
             and engine.membership.rank == 0
-            and engine.membership.state is model.MemberState.OPEN
+            and engine.membership.state
+            in (model.MemberState.OPEN, model.MemberState.CLOSING)
             and engine.stalled_at is None
         ]
 
--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -390,6 +390,8 @@
             }
         )
         self.running += 1
+        engine.running += 1
+        replica = engine.membership.key if engine.membership else None
         try:
             for number in range(first_number, event_count + 1):
                 while engine.stalled_at is not None or not engine.is_alive:
@@ -398,6 +400,10 @@
                         return
                 await asyncio.sleep(_EVENT_INTERVAL_S)
                 await self.platform.wait_while_silent(self.name)
+                if engine.membership is None or (
+                    engine.membership.key != replica
+                ):
+                    return
                 if crash_after is not None and number > crash_after:
                     self.platform.crash(
                         self.name, headers[wire.Header.REQUEST_ID]
@@ -414,6 +420,7 @@
             await send({"type": "http.response.body", "body": b""})
         finally:
             self.running -= 1
+            engine.running -= 1
 
 
 class HostedPlatform:
