Let requests in flight outlast a configuration without their service or model

Callers saw streams broken off beside a change of the configuration. With the service gone, a stream that looked for another replica was sent to any engines of the service without a model, until its attempts were used up.

--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -303,7 +303,7 @@
             self.metrics.count("probe_inconclusive")
             return None
         now = self.clock()
-        if not replica.is_complete and not probe_result.reason:
+        if replica.lacks_member and not probe_result.reason:
             probe_result = dataclasses.replace(
                 probe_result, reason="a member is gone", must_reform=True
             )
--- a/tamarackpier/fleet/model.py
+++ b/tamarackpier/fleet/model.py
@@ -153,6 +153,16 @@
         """Whether an engine is known for every rank."""
         return len(self.members) == self.span and self.span > 0
 
+    @property
+    def is_configured(self) -> bool:
+        """Whether the configuration has its model with so many members."""
+        return 0 < len(self.members) <= self.span
+
+    @property
+    def lacks_member(self) -> bool:
+        """Whether no engine is known for some rank."""
+        return len(self.members) < self.span
+
     @property
     def is_ready(self) -> bool:
         """Whether the replica is complete and every member is ready."""
--- a/tamarackpier/fleet/retirement.py
+++ b/tamarackpier/fleet/retirement.py
@@ -198,6 +198,8 @@
         if replica.leaving and replica.is_complete:
             return "a member is leaving", True
         if replica.lead_state in _SERVING_STATES:
+            if not replica.is_configured:
+                return "its model is not configured", True
             if not replica.is_complete:
                 return "a member is gone", False
             if replica.lead_state is model.MemberState.CLOSING:
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -368,6 +368,12 @@
         service_spec = self.routing.configuration.services.get(service)
         return service_spec.engine if service_spec else None
 
+    def _is_configured(self, service: str) -> bool:
+        """Returns whether the configuration in force has a service."""
+        return self.routing is not None and (
+            service in self.routing.configuration.services
+        )
+
     def select_upstream(self, run: run_lib.Run) -> selection.Candidate:
         """Returns the upstream of the next attempt.
 
@@ -407,7 +413,9 @@
         """
         request = run.request
         spec = self.engine_spec(run.service)
-        if spec is not None and request.model:
+        if not self._is_configured(run.service):
+            candidates = []
+        elif spec is not None and request.model:
             candidates = selection.replica_candidates(
                 self.fleet.serving(run.service, request.model),
                 spec,
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -6,26 +6,38 @@
 
 import aiohttp
 
+from tamarackpier.fleet import model as fleet_model
 from tests import deployment_fixtures
 
 SILENCE_S = 1.2
+SLOW_JOIN_S = 3.0  # Longer than callers wait for a silent stream.
 EVENT_COUNT = 60  # An answer takes 0.6 s.
 STREAM_COUNT = 6
 ONLY_LARGE = dataclasses.replace(
     deployment_fixtures.FAST_SPEC, models=deployment_fixtures.FAST_MODELS[:1]
 )
-SERVICES = {
-    **deployment_fixtures.SERVICES,
-    "drafts": dataclasses.replace(
-        deployment_fixtures.SERVICES["drafts"], engine=ONLY_LARGE
-    ),
-}
+ONLY_SMALL = dataclasses.replace(
+    ONLY_LARGE, models=deployment_fixtures.FAST_MODELS[1:]
+)
+SLOW_JOINS = dataclasses.replace(
+    ONLY_LARGE,
+    models=(dataclasses.replace(ONLY_LARGE.models[0], warm_s=SLOW_JOIN_S),),
+)
 WHOLE_ANSWER = b"".join(
     b"id: %d\ndata: e%d\n\n" % (number, number)
     for number in range(1, EVENT_COUNT + 1)
 )
 
 
+def _services(engine_spec):
+    """Returns the services, the model service with a specification."""
+    drafts = deployment_fixtures.SERVICES["drafts"]
+    return {
+        **deployment_fixtures.SERVICES,
+        "drafts": dataclasses.replace(drafts, engine=engine_spec),
+    }
+
+
 def _members(platform, rank):
     """Returns the IDs of the engines that have a rank in their replica."""
     return sorted(
@@ -46,18 +58,35 @@
     return response.status, body
 
 
-async def _start_streams(deployment, domain_count, **route_changes):
+def _leave_orders(platform):
+    """Returns a list of the IDs of the engines that are ordered to leave."""
+    ordered = []
+    carry_out = platform.fabric.order
+
+    def record(order):
+        if order.kind is fleet_model.OrderKind.LEAVE:
+            ordered.append(order.engine.id)
+        return carry_out(order)
+
+    platform.fabric.order = record
+    return ordered
+
+
+async def _start_streams(
+    deployment, domain_count, engine_spec=ONLY_LARGE, **route_changes
+):
     """Returns the tasks of streams that have begun."""
     platform = deployment.platform
     stream_route, *others = deployment_fixtures.ROUTES
     routes = (dataclasses.replace(stream_route, **route_changes), *others)
     platform.configure(
-        deployment_fixtures.configuration(2, routes=routes, services=SERVICES)
+        deployment_fixtures.configuration(
+            2, routes=routes, services=_services(engine_spec)
+        )
     )
     await deployment.until(
         lambda: (
             deployment.serving() == [domain_count]
-            and deployment.instances[0].configuration.version > 0
             and deployment.instances[0].relay.routing.configuration.routes
             == routes
         )
@@ -140,3 +169,36 @@
         assert time.monotonic() - ended_at < SILENCE_S
 
     deployment_fixtures.run(check, count=1)
+
+
+def test_streams_outlast_a_configuration_without_their_model():
+    async def check(deployment):
+        tasks = await _start_streams(deployment, 1, is_resumable=False)
+        deployment.platform.configure(
+            deployment_fixtures.configuration(3, services=_services(ONLY_SMALL))
+        )
+        for answer in await asyncio.gather(*tasks):
+            assert answer == (200, WHOLE_ANSWER)
+        assert deployment.instances[0].configuration.version == 3
+
+    deployment_fixtures.run(check, count=1)
+
+
+def test_streams_outlast_a_silence_after_their_service_was_removed():
+    async def check(deployment):
+        tasks = await _start_streams(deployment, 1)
+        services = {"orders": deployment_fixtures.SERVICES["orders"]}
+        routes = deployment_fixtures.ROUTES[1:]
+        deployment.platform.configure(
+            deployment_fixtures.configuration(
+                3, services=services, routes=routes
+            )
+        )
+        await deployment.until(
+            lambda: deployment.instances[0].configuration.version == 3
+        )
+        await _silence_leads(deployment.platform)
+        for answer in await asyncio.gather(*tasks):
+            assert answer == (200, WHOLE_ANSWER)
+
+    deployment_fixtures.run(check, count=1)
