Let no silence end a stream by its retry, its planner or a second silence

Found by the review of the hold, each with a test that failed before: - All streams of a silent replica were told that they may move while one retry was left; the first took it and the others were cut off. A retry is now taken with the decision to move. - A stream that could move but had nowhere to go was not counted, so the planner had its members leave after 0.16 s, though a join takes longer than callers wait. A silent replica is kept for 2 s if requests are bound to it, or run there and no other would stand in time. - Data between two silences ended the hold, and the second silence fell into the same suspension and moved nobody. Each probe round now asks its streams to move. When no request runs there any more, the replica is probed once more before it is given up. A stream waits for another replica as long as its caller does, by its route's objectives, instead of 1.7 s. These three stand in one commit, since each changes the same two decisions.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -550,7 +550,7 @@
                 lambda: self.configuration.routing,
                 lambda: len(self.zone_controllers),
                 lambda: self.relay.running_by_model(),
-                lambda key: self.relay.replica_loads.usage(key).bound,
+                self.relay.replica_loads.usage,
                 self.metrics,
                 self.clock,
             )
--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -326,9 +326,11 @@
             found=probe_result.reason or "all well",
             pace=probe_result.pace,
         )
-        if probe_result.is_lost:
-            self.streams.interrupt(key, probe_result.reason, is_lost=True)
         if probe_result.reason:
+            # Also within a suspension: data may have come since it began.
+            self.streams.interrupt(
+                key, probe_result.reason, is_lost=probe_result.is_lost
+            )
             suspension = fleet_view.Suspension(
                 key,
                 now + _SUSPENSION_S,
--- a/tamarackpier/daemon/zone_controller.py
+++ b/tamarackpier/daemon/zone_controller.py
@@ -14,6 +14,7 @@
 from tamarackpier.peer import zone_claims
 from tamarackpier.platform import interfaces
 from tamarackpier.routing import table
+from tamarackpier.traffic import load
 from tamarackpier.upstream import gateway
 
 __all__ = ["ZoneController"]
@@ -41,8 +42,8 @@
         zone_count: Returns the number of zones with model engines.
         running: Returns the number of requests in flight at replicas, over all
             instances, by model.
-        bound_at: Returns the number of requests at a replica that can't be sent
-            to another one, over all instances.
+        usage_at: Returns the requests in flight at a replica, over all
+            instances.
     """
 
     def __init__(
@@ -56,7 +57,7 @@
         routing: Callable[[], table.RoutingTable | None],
         zone_count: Callable[[], int],
         running: Callable[[], Mapping[str, int]],
-        bound_at: Callable[[model.ReplicaKey], int],
+        usage_at: Callable[[model.ReplicaKey], load.Usage],
         counts: metrics.Metrics,
         clock: Callable[[], float],
     ) -> None:
@@ -67,7 +68,7 @@
         self.routing = routing
         self.zone_count = zone_count
         self.running = running
-        self.bound_at = bound_at
+        self.usage_at = usage_at
         self.metrics = counts
         self.clock = clock
         self.lease = zone_lease.ZoneLease(
@@ -231,10 +232,9 @@
             elapsed_s = now - self._verified_at.get(key, float("-inf"))
             interval_s = _VERIFY_INTERVAL_S
             if key in self._silent_since:
-                if not self.bound_at(key):
-                    planner.confirm_failed(key)
-                    continue
                 interval_s = _KEPT_VERIFY_INTERVAL_S
+                if not self.usage_at(key).running:
+                    interval_s = 0.0
             if elapsed_s < interval_s:
                 continue
             self._verified_at[key] = now
@@ -253,12 +253,14 @@
             probe_result = await self.prober.probe(key, f"suspended: {reason}")
             if probe_result is None or not probe_result.must_reform:
                 self._silent_since.pop(key, None)
-            elif self._may_go_on(key, probe_result):
+            elif self._may_go_on(planner, key, probe_result):
+                usage = self.usage_at(key)
                 logs.event(
                     "silent replica kept",
                     replica=key.replica,
                     fence=key.fence,
-                    bound=self.bound_at(key),
+                    running=usage.running,
+                    bound=usage.bound,
                     found=probe_result.reason,
                 )
             else:
@@ -268,10 +270,23 @@
             self._verifications.discard(key)
 
     def _may_go_on(
-        self, key: model.ReplicaKey, probe_result: probing.ProbeResult
+        self,
+        planner: zone_planner.ZonePlanner,
+        key: model.ReplicaKey,
+        probe_result: probing.ProbeResult,
     ) -> bool:
-        """Returns whether a silent replica is kept for requests bound to it."""
-        if probe_result.is_lost or not self.bound_at(key):
+        """Returns whether a silent replica is kept for its requests.
+
+        It is if some can't be sent to another replica, or if no other would
+        stand in time for them.
+        """
+        usage = self.usage_at(key)
+        replica = self.fleet.replicas().get(key)
+        if probe_result.is_lost or replica is None or not usage.running:
+            return False
+        if not usage.bound and planner.can_replace_soon(
+            replica, max(1, len(probe_result.silent))
+        ):
             return False
         now = self.clock()
         silent_since = self._silent_since.setdefault(key, now)
--- a/tamarackpier/fleet/zone_planner.py
+++ b/tamarackpier/fleet/zone_planner.py
@@ -32,6 +32,10 @@
 # time; if some answers are too old for an order to join, all are asked again.
 _CHOICE_FRESH_S = 1.5
 
+# Longest time to join of a replacement for which requests of a silent replica
+# can wait. Callers abandon a stream after 2 s of silence at the earliest.
+_MAX_AWAITED_JOIN_S = 1.7
+
 # Refusals of an order for a reason other than the engine's present state.
 _REFUSAL_OUTCOMES = (
     model.OrderOutcome.SUPERSEDED,
@@ -208,6 +212,24 @@
             or key in retirements.completed
         )
 
+    def can_replace_soon(
+        self, replica: model.Replica, silent_count: int
+    ) -> bool:
+        """Returns whether a replica could be formed anew for waiting requests.
+
+        Args:
+            replica: The replica.
+            silent_count: Number of its members that need a substitute.
+        """
+        spec = self.spec.model(replica.model)
+        if spec is None or spec.warm_s > _MAX_AWAITED_JOIN_S:
+            return False
+        spares = self._free.get(replica.members[0][1].domain, [])
+        holders = [
+            engine for engine in spares if replica.model in engine.staged
+        ]
+        return len(holders) >= silent_count
+
     def summary(self, fleet: fleet_view.FleetView) -> dict[str, object]:
         """Returns the state of the zone after the last tick, for the log."""
         serving: collections.Counter[str] = collections.Counter()
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -776,8 +776,12 @@
             self._retry_obstacle(run, counted_attempts)
         )
 
-    def has_other_upstream(self, run: run_lib.Run) -> bool:
-        """Returns whether an upstream could take over a running stream."""
+    def reserve_move(self, run: run_lib.Run) -> bool:
+        """Takes the retry with which a running stream goes on elsewhere.
+
+        Returns:
+            Whether an upstream could take over the stream.
+        """
         now = self.clock()
         criteria = selection.SelectionCriteria(
             self.settings.availability_zone,
@@ -789,7 +793,9 @@
             self._available_candidates(run, criteria, verdict, now)
         except run_lib.RefusedError:
             return False
-        return True
+        if not run.has_reserved_retry:
+            run.has_reserved_retry = self.retry_budget(run.service).spend(now)
+        return run.has_reserved_retry
 
     def _retry_obstacle(self, run: run_lib.Run, counted_attempts: int) -> str:
         """Returns the short name of why a request may not be retried.
@@ -813,7 +819,8 @@
             return "most_sends"
         if counted_attempts >= run.route.max_attempts:
             return "attempts"
-        if not self.retry_budget(run.service).has_left(now):
+        service_budget = self.retry_budget(run.service)
+        if not run.has_reserved_retry and not service_budget.has_left(now):
             return "budget"
         return ""
 
@@ -831,7 +838,9 @@
             self.metrics.count("not_repeated", obstacle)
             return False
         service_budget = self.retry_budget(run.service)
-        service_budget.spend(self.clock())
+        if not run.has_reserved_retry:
+            service_budget.spend(self.clock())
+        run.has_reserved_retry = False
         self.metrics.count("repeated", reason)
         usage = service_budget.usage(self.clock())
         logs.decision(
--- a/tamarackpier/traffic/run.py
+++ b/tamarackpier/traffic/run.py
@@ -49,6 +49,8 @@
             request.
         is_isolated: Whether the next attempt may not run beside other suspects
             of upstream deaths.
+        has_reserved_retry: Whether the next retry has been taken from the
+            retry budget already.
         last_failure: Engine ID and error of the last failed attempt, for logs
             and faults.
     """
@@ -67,6 +69,7 @@
     counted_attempts: int = 0
     possible_runs: int = 0
     is_isolated: bool = False
+    has_reserved_retry: bool = False
     last_failure: str = ""
 
     @property
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -20,7 +20,14 @@
 
 __all__: list[str] = []
 
-_RESUME_TIMEOUT_S = 1.7  # Callers abandon a stream after 2 s of silence.
+# Callers abandon a stream after this silence at the earliest.
+_LEAST_CALLER_PATIENCE_S = 2.0
+# Multiples of a route's objectives after which callers abandon a stream if that
+# is longer.
+_PATIENCE_OBJECTIVES = 4.0
+_PATIENCE_GAP_OBJECTIVES = 8.0
+# Part of that time which passes before a lost upstream is noticed.
+_NOTICE_S = 0.3
 _RESUME_POLL_S = 0.05
 # Reason of a failed attempt that no engine has begun to run.
 _MOVED_BEFORE_START = "moved_before_start"
@@ -49,15 +56,15 @@
 ) -> selection.Candidate:
     """Returns the upstream at which a stream starts or resumes.
 
-    A stream that has started, or that may have run, waits up to
-    `_RESUME_TIMEOUT_S` for an upstream that can take it, unless it is suspected
-    of crashing upstreams.
+    A stream that has started, or that may have run, waits for an upstream that
+    can take it as long as its caller does, unless it is suspected of crashing
+    upstreams.
 
     Raises:
         run_lib.RefusedError: No upstream can take the stream, or none could
             before the wait ended.
     """
-    give_up_at = relay.clock() + _RESUME_TIMEOUT_S
+    give_up_at = relay.clock() + _resume_timeout_s(run.route)
     while True:
         try:
             return relay.select_upstream(run)
@@ -72,6 +79,16 @@
         await asyncio.sleep(_RESUME_POLL_S)
 
 
+def _resume_timeout_s(route: routing_model.Route) -> float:
+    """Returns how long a broken stream waits for an upstream, in seconds."""
+    patience_s = max(
+        _LEAST_CALLER_PATIENCE_S,
+        _PATIENCE_OBJECTIVES * route.objective_s,
+        _PATIENCE_GAP_OBJECTIVES * route.gap_objective_s,
+    )
+    return patience_s - _NOTICE_S
+
+
 async def _check_resume(
     relay: relay_lib.Relay,
     run: run_lib.Run,
@@ -137,25 +154,26 @@
         yield stream_attempt
         return
 
-    def can_move(reason: str) -> bool:
-        is_counted = _move_name(stream_attempt, reason) != _MOVED_BEFORE_START
-        is_bound = relay.is_bound(run, is_counted)
+    def set_bound(is_bound: bool) -> None:
         if is_bound and not stream_attempt.is_bound:
-            stream_attempt.is_bound = True
             relay.replica_loads.bind(stream_attempt.key)
-        return not is_bound and relay.has_other_upstream(run)
+        elif stream_attempt.is_bound and not is_bound:
+            relay.replica_loads.unbind(stream_attempt.key)
+        stream_attempt.is_bound = is_bound
+
+    def can_move(reason: str) -> bool:
+        is_counted = _move_name(stream_attempt, reason) != _MOVED_BEFORE_START
+        set_bound(relay.is_bound(run, is_counted))
+        return not stream_attempt.is_bound and relay.reserve_move(run)
 
     stream_attempt.can_move = can_move
     relay.streams.add(stream_attempt, relay.clock())
-    stream_attempt.is_bound = relay.is_bound(run, is_counted=True)
-    if stream_attempt.is_bound:
-        relay.replica_loads.bind(stream_attempt.key)
+    set_bound(relay.is_bound(run, is_counted=True))
     try:
         yield stream_attempt
     finally:
         relay.streams.remove(stream_attempt)
-        if stream_attempt.is_bound:
-            relay.replica_loads.unbind(stream_attempt.key)
+        set_bound(False)
 
 
 async def _run_attempt(
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -171,6 +171,39 @@
     deployment_fixtures.run(check, count=1)
 
 
+def test_no_more_streams_leave_a_silent_replica_than_retries_are_left():
+    async def check(deployment):
+        relay = deployment.instances[0].relay
+        relay.apply_settings(
+            dataclasses.replace(
+                relay.settings, retry_ratio=0.3, retry_extra=0.0
+            )
+        )
+        tasks = await _start_streams(deployment, 2)
+        ran = deployment.platform.ran
+        leads = [ran[f"r{index}"][0] for index in range(STREAM_COUNT)]
+        busiest = max(leads, key=leads.count)
+        deployment.platform.silence(busiest, SILENCE_S)
+        for answer in await asyncio.gather(*tasks):
+            assert answer == (200, WHOLE_ANSWER)
+
+    deployment_fixtures.run(check, count=1, domain_count=2)
+
+
+def test_no_replica_is_retired_for_a_silence_shorter_than_a_join():
+    async def check(deployment):
+        tasks = await _start_streams(deployment, 1, SLOW_JOINS)
+        platform = deployment.platform
+        platform.fabric.spec = SLOW_JOINS
+        leave_orders = _leave_orders(platform)
+        await _silence_leads(platform)
+        for answer in await asyncio.gather(*tasks):
+            assert answer == (200, WHOLE_ANSWER)
+        assert not leave_orders
+
+    deployment_fixtures.run(check, count=1)
+
+
 def test_streams_outlast_a_configuration_without_their_model():
     async def check(deployment):
         tasks = await _start_streams(deployment, 1, is_resumable=False)
@@ -202,3 +235,23 @@
             assert answer == (200, WHOLE_ANSWER)
 
     deployment_fixtures.run(check, count=1)
+
+
+def test_a_stream_leaves_a_replica_that_falls_silent_for_good_the_second_time():
+    async def check(deployment):
+        instance = deployment.instances[0]
+        tasks = await _start_streams(deployment, 2, max_attempts=2)
+        platform = deployment.platform
+        settings = instance.relay.settings
+        instance.relay.apply_settings(
+            dataclasses.replace(settings, retry_ratio=0.0, retry_extra=0.0)
+        )
+        lead = platform.ran["r0"][0]
+        platform.silence(lead, 0.6)
+        await asyncio.sleep(0.7)
+        instance.relay.apply_settings(settings)
+        platform.silence(lead, 60.0)
+        for answer in await asyncio.gather(*tasks):
+            assert answer == (200, WHOLE_ANSWER)
+
+    deployment_fixtures.run(check, count=1, domain_count=2)
