Believe no silence in a probe round in which own links are found lost

What callers saw: when an instance lost its links to all engines, a sound replica was suspended for 3 s at every instance, its streams moved, and requests went to fewer replicas.

Cause: a round asks each member three times. Links that are found lost between two tries make the later tries go through peers, so that some members answer and the others don't; an answer of any member then counted as proof that the silence of the others was theirs.

Now such a round shows nothing if any member failed to answer, as a round with no answer at all did before; a later round asks through peers from the start.

The new test of a round failed before.

--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -345,7 +345,8 @@
     ) -> bool:
         """Returns whether the silence of members may be that of own links.
 
-        It is not if any member answers.
+        It is not if any member answers, unless links were found lost meanwhile:
+        from then on peers ask, so that some members answer.
         """
         fault_codes = [
             report_result.failure().code
@@ -354,6 +355,13 @@
         ]
         if codes.PEER_UNAVAILABLE in fault_codes:
             return True
+        links_lost_at = self.links_lost_at()
+        if (
+            fault_codes
+            and links_lost_at is not None
+            and links_lost_at > started_at
+        ):
+            return True
         if len(fault_codes) < len(report_results):
             return False
         return not await self.confirm_links(started_at)
--- a/tests/test_partitioned_instances.py
+++ b/tests/test_partitioned_instances.py
@@ -458,6 +458,51 @@
     assert _move(5.0) == ("", "nothing moves")
 
 
+def _probe_with_silent_member(links_lost_at):
+    """Returns a probe's result, and the replicas suspended and engines silent.
+
+    Args:
+        links_lost_at: Time from which own links are known to be lost, once the
+            members have been asked from 10 s on; None if they work.
+    """
+
+    async def check():
+        async def report(engine, timeout_s):
+            if engine.id == "r1-1":
+                return failures.failure(codes.UPSTREAM_UNREACHABLE, "silent")
+            prober.links_lost_at = lambda: links_lost_at
+            return result.Success(
+                model.EngineReport(engine.id, engine.membership, 0, 0, 1.0)
+            )
+
+        fleet = fleet_view.FleetView()
+        fleet.set_services(hosted_fixtures.services())
+        fleet.replace(hosted_fixtures.replica_records(), 0.0)
+        prober = probing.Prober(
+            fleet,
+            types.SimpleNamespace(report=report),
+            stream_attempts.StreamAttempts(),
+            metrics.Metrics(),
+            lambda: 10.0,
+        )
+        probe_result = await prober.probe(model.ReplicaKey("r1", 1), "test")
+        return probe_result, len(fleet.suspended), list(fleet.silent)
+
+    return asyncio.run(check())
+
+
+def test_a_probe_in_which_links_are_found_lost_suspends_nothing():
+    # Members asked after that answer through peers; the others were not asked.
+    assert _probe_with_silent_member(10.05) == (None, 0, [])
+
+
+def test_a_silent_member_is_believed_if_the_round_began_on_lost_links():
+    for links_lost_at in (None, 9.9):
+        probe_result, *view = _probe_with_silent_member(links_lost_at)
+        assert probe_result.silent == ("r1-1",)
+        assert view == [1, ["r1-1"]]
+
+
 def test_engines_without_reports_show_that_links_work():
     async def check():
         async def report(engine, timeout_s):
