Hold silent streams of the own face that can't go on elsewhere

Callers of model calls got an error event (4006) in the middle of an answer when an engine stood still for longer than progress_timeout_s and went on: where the attempts or the retry budget were used up, or no time was left for a retry. A stream with a retry left was sent again to the same silent engine, although another replica had room, and then waited there without end, past its deadline.

Cause: as on the hosted path, the stream was closed before anything decided whether its call may be sent again, and where to.

Now a pure decision (request/silence.py) comes first. A stalled stream is closed only once its call has a retry and a reserved slot: at another replica, or at its own if that has been formed anew or has answered probes for a second while the stream stayed silent (then the connection is at fault). It ends if its replica was formed anew or its deadline is over; else it is held. Reserving at the decision keeps eight streams from being closed for one slot or one retry. A caller that reads slowly no longer counts as a silent engine.

--- a/tamarackpier/request/dispatch.py
+++ b/tamarackpier/request/dispatch.py
@@ -52,6 +52,7 @@
         avoided_replicas: IDs of replicas to use only if no other has room.
         future: Receives the reserved slot, or the fault with which the request
             is refused.
+        excluded_replicas: IDs of replicas not to use.
     """
 
     call: model.ModelCall
@@ -59,6 +60,7 @@
     is_isolated: bool
     avoided_replicas: frozenset[str]
     future: "asyncio.Future[result.Result[Slot, codes.Fault]]"
+    excluded_replicas: frozenset[str] = frozenset()
 
 
 class Dispatcher:
@@ -152,6 +154,45 @@
                 return result.Success(slot)
         return await self._wait(queue, waiter, ticket, is_resumed)
 
+    def reserve(
+        self,
+        call: model.ModelCall,
+        version: str,
+        ticket: admit.Ticket,
+        avoided_replicas: frozenset[str],
+        excluded_replicas: frozenset[str],
+    ) -> Slot | None:
+        """Reserves a slot for a call that runs, ahead of queued calls.
+
+        Args:
+            call: The model call.
+            version: Version of the model.
+            ticket: Rank and priority of the call.
+            avoided_replicas: IDs of replicas to use only if no other has room.
+            excluded_replicas: IDs of replicas not to use.
+
+        Returns:
+            The slot; None if none is free now or the call may not be sent.
+        """
+        now = self.clock()
+        verdict = self.quarantine.verdict(
+            call.fingerprint, now, call.part_fingerprints
+        )
+        if verdict not in (
+            quarantine_lib.Verdict.RUN,
+            quarantine_lib.Verdict.ALONE,
+        ):
+            return None
+        waiter = _Waiter(
+            call,
+            version,
+            verdict is quarantine_lib.Verdict.ALONE,
+            avoided_replicas,
+            asyncio.get_running_loop().create_future(),
+            excluded_replicas,
+        )
+        return self._reserve_slot(waiter, ticket, now)
+
     def release(self, slot: Slot) -> None:
         """Releases a slot and dispatches queued requests."""
         self.loads.end(slot.in_flight, self.clock())
@@ -299,6 +340,7 @@
             evidence.replica_id: evidence
             for evidence in self._serving_evidence(waiter)
             if self.breakers.allows(evidence.lead, now)
+            and evidence.replica_id not in waiter.excluded_replicas
         }
         candidates = [
             candidate
--- a/tamarackpier/request/relay.py
+++ b/tamarackpier/request/relay.py
@@ -6,6 +6,9 @@
 because the loss of a replica breaks all of its streams at once; every later
 retry is taken from the budget, which all calls share. An answer that cannot be
 completed ends with a fault, never with a clean end of stream.
+
+An attempt whose replica is only silent is interrupted once its call has a
+retry and a slot to go on with; see `tamarackpier.request.silence`.
 """
 
 import asyncio
@@ -17,7 +20,14 @@
 
 from tamarackpier import codes, invariants, logs, metrics, tasks
 from tamarackpier import quarantine as quarantine_lib
-from tamarackpier.request import admit, dispatch, model, retry, stream
+from tamarackpier.request import (
+    admit,
+    dispatch,
+    model,
+    retry,
+    silence,
+    stream,
+)
 from tamarackpier.upstream import engine
 
 __all__ = ["ModelRun", "Relay", "RunFailedError"]
@@ -59,6 +69,19 @@
     at: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Move:
+    """A retry that a call may make, and the slot that is reserved for it.
+
+    Attributes:
+        slot: The reserved slot.
+        delay_s: Backoff before the retry, in seconds.
+    """
+
+    slot: dispatch.Slot
+    delay_s: float
+
+
 class Relay:
     """Runs the model calls of an entry instance and holds their shared state.
 
@@ -67,8 +90,8 @@
         engines: Client for the engines' streams.
         budget: Retry budget that all calls share.
         backoff: Delays between the attempts of a call.
-        progress_timeout_s: Seconds without data after which a stream is
-            treated as stalled.
+        progress_timeout_s: Seconds without data after which a stream moves
+            to another replica if it can.
         runs: Calls in progress by request ID.
         suspected_crashes: Attempts that broke off, as long as it is not known
             whether the replica crashed.
@@ -124,15 +147,14 @@
         return result.Success(run)
 
     def watch(self) -> None:
-        """Aborts stalled streams and resolves suspected crashes.
+        """Decides about stalled streams and resolves suspected crashes.
 
         Slots that are free again are assigned to waiting calls.
         """
         now = self.clock()
         for run in list(self.runs.values()):
             if run.is_stalled(now):
-                self.metrics.count("stream_silent")
-                run.abort_stream()
+                run.handle_silence(now)
         self.suspected_crashes = [
             suspected_crash
             for suspected_crash in self.suspected_crashes
@@ -194,8 +216,15 @@
             arrived; None before.
         last_progress_at: Monotonic time in seconds of the last data or new
             connection.
+        waiting_since: Monotonic time in seconds at which the wait for the
+            engine began; None while nothing is awaited of it.
         slot: Slot that the current attempt holds.
         engine_stream: Open stream of the current attempt.
+        answering_since: Monotonic time in seconds of the first evidence of the
+            replica after the open stream stalled; None if there is none.
+        move: How the call goes on after a stalled stream was aborted; None
+            if that was not decided.
+        is_held: Whether the open stream has stalled and is held.
         is_silent: Whether the last stream was aborted because it stalled.
         may_have_run: Whether an engine may have executed part of the call.
         avoided_replicas: IDs of replicas to use only if no other has room.
@@ -221,8 +250,12 @@
         self.attempts = 0
         self.first_piece_at: float | None = None
         self.last_progress_at = relay.clock()
+        self.waiting_since: float | None = None
         self.slot: dispatch.Slot | None = None
         self.engine_stream: engine.EngineStream | None = None
+        self.answering_since: float | None = None
+        self.move: Move | None = None
+        self.is_held = False
         self.is_silent = False
         self.may_have_run = False
         self.avoided_replicas: frozenset[str] = frozenset()
@@ -263,6 +296,9 @@
             relay.metrics.count("cancelled_upstream")
             self._cancel_upstream()
         self._close_stream()
+        if self.move is not None:
+            relay.dispatcher.release(self.move.slot)
+            self.move = None
         if self.assembler.is_done:
             for suspect in (
                 self.call.fingerprint,
@@ -274,17 +310,83 @@
     def is_stalled(self, now: float) -> bool:
         """Returns whether the open stream exceeded the progress timeout."""
         return (
-            self.engine_stream is not None
+            self.waiting_since is not None
             and not self.is_silent
-            and now - self.last_progress_at > self.relay.progress_timeout_s
+            and now - self.waiting_since > self.relay.progress_timeout_s
         )
 
-    def abort_stream(self) -> None:
+    def handle_silence(self, now: float) -> None:
+        """Aborts the stalled stream, or holds it while that is of no use."""
+        assert self.slot is not None and self.waiting_since is not None
+        replica_id = self.slot.evidence.replica_id
+        evidence = self.relay.dispatcher.gate.evidence.get(replica_id)
+        noticed_at = self.waiting_since + self.relay.progress_timeout_s
+        if (
+            self.answering_since is None
+            and evidence is not None
+            and evidence.at >= noticed_at
+        ):
+            self.answering_since = evidence.at
+        attempt = silence.SilentAttempt(
+            replica_id,
+            self.slot.evidence.fence,
+            self.answering_since,
+            self.call.deadline,
+        )
+        excluded_replicas = frozenset({replica_id})
+        if silence.is_answering(attempt, evidence):
+            excluded_replicas = frozenset()
+        self.move = self._reserve_move(excluded_replicas, now)
+        step = silence.decide(attempt, evidence, self.move is not None, now)
+        if step is not silence.Step.HOLD:
+            self.relay.metrics.count("stream_silent")
+            self._abort_stream()
+        elif not self.is_held:
+            self.is_held = True
+            self.relay.metrics.count("stream_held")
+            logs.event(
+                "silent stream held",
+                request=self.call.request_id,
+                account=self.call.account,
+                replica=replica_id,
+                upstream=self.slot.evidence.lead,
+                delivered=self.assembler.delivered_count,
+            )
+
+    def _abort_stream(self) -> None:
         """Closes a stalled connection so that the pending read fails."""
         self.is_silent = True
         if self.engine_stream is not None:
             self.engine_stream.close()
 
+    def _reserve_move(
+        self, excluded_replicas: frozenset[str], now: float
+    ) -> Move | None:
+        """Takes a retry and a slot if both can be had now."""
+        relay = self.relay
+        attempt = self.attempts + 1
+        delay_s = relay.backoff.delay_s(attempt - 1, relay.rng)
+        is_budgeted = attempt > _UNBUDGETED_ATTEMPTS
+        if (
+            attempt > _MAX_ATTEMPTS
+            or now + delay_s >= self.call.deadline
+            or (is_budgeted and not relay.budget.has_retry)
+            or self._awaits_crash_verdict()
+        ):
+            return None
+        slot = relay.dispatcher.reserve(
+            self.call,
+            self.version,
+            self.ticket,
+            self.avoided_replicas,
+            excluded_replicas,
+        )
+        if slot is None:
+            return None
+        if is_budgeted:
+            relay.budget.spend()
+        return Move(slot, delay_s)
+
     async def _next_pieces(self) -> bytes:
         while True:
             if self.assembler.is_done:
@@ -298,7 +400,7 @@
     async def _receive(self) -> bytes:
         assert self.engine_stream is not None
         try:
-            data = await self.engine_stream.read()
+            data = await self._read_stream(self.engine_stream)
             ready = self.assembler.feed(data) if data else b""
         except engine.BrokenStreamError as error:
             self._record_broken_stream(str(error))
@@ -313,13 +415,21 @@
             )
             return b""
         self.last_progress_at = self.relay.clock()
+        self.is_held = False
         return ready
 
+    async def _read_stream(self, engine_stream: engine.EngineStream) -> bytes:
+        self.waiting_since = self.relay.clock()
+        self.answering_since = None
+        try:
+            return await engine_stream.read()
+        finally:
+            self.waiting_since = None
+
     async def _connect(self) -> None:
         """Opens a stream on a replica, retrying within the limits."""
         while True:
-            await self._prepare_attempt()
-            slot = await self._acquire()
+            slot = await self._next_slot()
             open_result = await self._open(slot)
             if pipeline.is_successful(open_result):
                 self.engine_stream = open_result.unwrap()
@@ -337,6 +447,21 @@
                 # so the call goes back to waiting.
                 self.attempts -= 1
 
+    async def _next_slot(self) -> dispatch.Slot:
+        """Returns the slot of the next attempt.
+
+        Raises:
+            RunFailedError: No further attempt is allowed, or none has a slot.
+        """
+        if self.move is None:
+            await self._prepare_attempt()
+            return await self._acquire()
+        self.attempts += 1
+        await asyncio.sleep(self.move.delay_s)
+        slot = self.move.slot
+        self.move = None
+        return slot
+
     async def _prepare_attempt(self) -> None:
         """Counts an attempt, and waits out the backoff before a retry.
 
@@ -347,6 +472,8 @@
         if self.attempts == 1:
             return
         relay = self.relay
+        if relay.clock() >= self.call.deadline:
+            raise RunFailedError(self._terminal_fault("the deadline passed"))
         if self.attempts > _MAX_ATTEMPTS:
             raise RunFailedError(
                 self._terminal_fault("maximum number of attempts reached")
@@ -371,20 +498,20 @@
         quarantine, two by default: a request that crashes its replicas must
         not be sent to a third one before the first two crashes are counted.
         """
-        if (
-            self.broken_attempts
-            < self.relay.dispatcher.quarantine.crash_threshold
-        ):
-            return
         for _ in range(_CRASH_VERDICT_POLLS):
-            fingerprints = {
-                suspected_crash.fingerprint
-                for suspected_crash in self.relay.suspected_crashes
-            }
-            if self.call.fingerprint not in fingerprints:
+            if not self._awaits_crash_verdict():
                 return
             await asyncio.sleep(_CRASH_VERDICT_POLL_S)
 
+    def _awaits_crash_verdict(self) -> bool:
+        """Returns whether crashes that count for this call are unresolved."""
+        relay = self.relay
+        threshold = relay.dispatcher.quarantine.crash_threshold
+        return self.broken_attempts >= threshold and any(
+            suspected_crash.fingerprint == self.call.fingerprint
+            for suspected_crash in relay.suspected_crashes
+        )
+
     async def _acquire(self) -> dispatch.Slot:
         slot_result = await self.relay.dispatcher.acquire(
             self.call,
--- a/tamarackpier/request/retry.py
+++ b/tamarackpier/request/retry.py
@@ -29,9 +29,14 @@
         """Adds the retries that a first attempt allows."""
         self.balance = min(self.max_balance, self.balance + self.share)
 
+    @property
+    def has_retry(self) -> bool:
+        """Whether a retry is available."""
+        return self.balance >= 1
+
     def spend(self) -> bool:
         """Takes one retry and returns whether one was available."""
-        if self.balance < 1:
+        if not self.has_retry:
             return False
         self.balance -= 1
         return True
