Limit the wait for an answer's start on the own face

Callers of model calls got neither an answer nor a refusal when an engine accepted their call and then stood still or vanished before its answer's head: opening a stream had no limit but that of connecting, nothing watched it, and the deadline wasn't looked at. With an engine on loopback that reads a call and says nothing, a call with a deadline of 1 s had no end after 5 s; in the simulated case none 120 s after the call, with a deadline of 4 s and with another replica free.

Now the wait for the head is watched as the wait for data is, with the same decision: the call moves once it has a retry and a slot elsewhere, is held while it can't, and ends at its deadline with UPSTREAM_FAILED. An engine that is left gets a cancellation, as it may run the call when it goes on. A second of silence before the head ends no call. Silence makes no call a suspect of a crash, as before.

The stand-in let calls to a paused engine fail after 1 s, which hid this; they now wait in its socket, as with the HTTP client.

--- a/tamarackpier/request/relay.py
+++ b/tamarackpier/request/relay.py
@@ -90,8 +90,8 @@
         engines: Client for the engines' streams.
         budget: Retry budget that all calls share.
         backoff: Delays between the attempts of a call.
-        progress_timeout_s: Seconds without data after which a stream moves
-            to another replica if it can.
+        progress_timeout_s: Seconds without data, or without the start of the
+            answer, after which a call moves to another replica if it can.
         runs: Calls in progress by request ID.
         suspected_crashes: Attempts that broke off, as long as it is not known
             whether the replica crashed.
@@ -219,12 +219,14 @@
         waiting_since: Monotonic time in seconds at which the wait for the
             engine began; None while nothing is awaited of it.
         slot: Slot that the current attempt holds.
+        opening: Task that waits for the start of the current attempt's answer.
         engine_stream: Open stream of the current attempt.
         answering_since: Monotonic time in seconds of the first evidence of the
             replica after the open stream stalled; None if there is none.
         move: How the call goes on after a stalled stream was aborted; None
             if that was not decided.
-        is_held: Whether the open stream has stalled and is held.
+        is_held: Whether the current attempt has stalled and is held.
+        is_aborted: Whether the current attempt was aborted.
         is_silent: Whether the last stream was aborted because it stalled.
         may_have_run: Whether an engine may have executed part of the call.
         avoided_replicas: IDs of replicas to use only if no other has room.
@@ -252,10 +254,14 @@
         self.last_progress_at = relay.clock()
         self.waiting_since: float | None = None
         self.slot: dispatch.Slot | None = None
+        self.opening: (
+            asyncio.Task[result.Result[engine.EngineStream, codes.Fault]] | None
+        ) = None
         self.engine_stream: engine.EngineStream | None = None
         self.answering_since: float | None = None
         self.move: Move | None = None
         self.is_held = False
+        self.is_aborted = False
         self.is_silent = False
         self.may_have_run = False
         self.avoided_replicas: frozenset[str] = frozenset()
@@ -294,11 +300,10 @@
         relay.runs.pop(self.call.request_id, None)
         if self.engine_stream is not None and not self.assembler.is_done:
             relay.metrics.count("cancelled_upstream")
-            self._cancel_upstream()
+            assert self.slot is not None
+            self._cancel_upstream(self.slot)
         self._close_stream()
-        if self.move is not None:
-            relay.dispatcher.release(self.move.slot)
-            self.move = None
+        self._release_move()
         if self.assembler.is_done:
             for suspect in (
                 self.call.fingerprint,
@@ -308,15 +313,16 @@
             self._record_completion()
 
     def is_stalled(self, now: float) -> bool:
-        """Returns whether the open stream exceeded the progress timeout."""
+        """Returns whether the attempt exceeded the progress timeout."""
         return (
             self.waiting_since is not None
-            and not self.is_silent
+            and not self.is_aborted
+            and (self.opening is None or not self.opening.done())
             and now - self.waiting_since > self.relay.progress_timeout_s
         )
 
     def handle_silence(self, now: float) -> None:
-        """Aborts the stalled stream, or holds it while that is of no use."""
+        """Aborts the stalled attempt, or holds it while that is of no use."""
         assert self.slot is not None and self.waiting_since is not None
         replica_id = self.slot.evidence.replica_id
         evidence = self.relay.dispatcher.gate.evidence.get(replica_id)
@@ -340,7 +346,7 @@
         step = silence.decide(attempt, evidence, self.move is not None, now)
         if step is not silence.Step.HOLD:
             self.relay.metrics.count("stream_silent")
-            self._abort_stream()
+            self._abort_attempt()
         elif not self.is_held:
             self.is_held = True
             self.relay.metrics.count("stream_held")
@@ -353,9 +359,12 @@
                 delivered=self.assembler.delivered_count,
             )
 
-    def _abort_stream(self) -> None:
-        """Closes a stalled connection so that the pending read fails."""
+    def _abort_attempt(self) -> None:
+        """Closes a stalled connection so that the wait for it ends."""
         self.is_silent = True
+        self.is_aborted = True
+        if self.opening is not None:
+            self.opening.cancel()
         if self.engine_stream is not None:
             self.engine_stream.close()
 
@@ -387,6 +396,11 @@
             relay.budget.spend()
         return Move(slot, delay_s)
 
+    def _release_move(self) -> None:
+        if self.move is not None:
+            self.relay.dispatcher.release(self.move.slot)
+            self.move = None
+
     async def _next_pieces(self) -> bytes:
         while True:
             if self.assembler.is_done:
@@ -419,13 +433,16 @@
         return ready
 
     async def _read_stream(self, engine_stream: engine.EngineStream) -> bytes:
-        self.waiting_since = self.relay.clock()
-        self.answering_since = None
+        self._begin_wait()
         try:
             return await engine_stream.read()
         finally:
             self.waiting_since = None
 
+    def _begin_wait(self) -> None:
+        self.waiting_since = self.relay.clock()
+        self.answering_since = None
+
     async def _connect(self) -> None:
         """Opens a stream on a replica, retrying within the limits."""
         while True:
@@ -441,6 +458,12 @@
                 self.may_have_run = True
                 self.assembler.restart()
                 return
+            if self.is_aborted:
+                # The engine may have received the call and run it later.
+                self.may_have_run = True
+                self._cancel_upstream(slot)
+                self._record_broken_stream("no answer began")
+                continue
             self._record_refusal(slot, open_result.failure())
             if open_result.failure().code is codes.UPSTREAM_REFUSED:
                 # The replica had no free slot. That is not a failed attempt,
@@ -530,6 +553,7 @@
     async def _open(
         self, slot: dispatch.Slot
     ) -> result.Result[engine.EngineStream, codes.Fault]:
+        self.is_aborted = False
         relay = self.relay
         evidence = slot.evidence
         gate = relay.dispatcher.gate
@@ -556,13 +580,45 @@
             self.assembler.delivered_count,
             stream.answer_text(self.assembler.delivered, self.call.kind),
         )
-        open_result = await relay.engines.open(
-            evidence.address, dispatch_request
-        )
-        if not pipeline.is_successful(open_result):
+        open_result = await self._wait_for_stream(dispatch_request)
+        if not pipeline.is_successful(open_result) and not self.is_aborted:
             self._close_stream()
         return open_result
 
+    async def _wait_for_stream(
+        self, dispatch_request: engine.Dispatch
+    ) -> result.Result[engine.EngineStream, codes.Fault]:
+        """Sends the call and waits for its answer to begin.
+
+        Returns:
+            The stream, or the fault; also if the attempt is aborted meanwhile.
+        """
+        assert self.slot is not None
+        opening = asyncio.ensure_future(
+            self.relay.engines.open(
+                self.slot.evidence.address, dispatch_request
+            )
+        )
+        self.opening = opening
+        self._begin_wait()
+        try:
+            await asyncio.wait((opening,))
+        except asyncio.CancelledError:
+            opening.cancel()
+            opening.add_done_callback(_close_unused)
+            raise
+        finally:
+            self.opening = None
+            self.waiting_since = None
+        if opening.cancelled():
+            return result.Failure(
+                codes.fault(codes.UPSTREAM_FAILED, "no answer began")
+            )
+        self.is_aborted = False
+        self.is_held = False
+        self._release_move()
+        return opening.result()
+
     def _record_refusal(self, slot: dispatch.Slot, fault: codes.Fault) -> None:
         relay = self.relay
         relay.metrics.count("retry", fault.code.name)
@@ -639,9 +695,8 @@
             self.relay.dispatcher.release(self.slot)
             self.slot = None
 
-    def _cancel_upstream(self) -> None:
-        assert self.slot is not None
-        address = self.slot.evidence.address
+    def _cancel_upstream(self, slot: dispatch.Slot) -> None:
+        address = slot.evidence.address
         _CANCEL_TASKS.start(
             self.relay.engines.cancel(address, self.call.request_id)
         )
@@ -681,4 +736,15 @@
         relay.dispatcher.breakers.record_success(self.lead)
 
 
+def _close_unused(
+    opening: "asyncio.Task[result.Result[engine.EngineStream, codes.Fault]]",
+) -> None:
+    """Closes a stream that was opened while its call was cancelled."""
+    if opening.cancelled():
+        return
+    open_result = opening.result()
+    if pipeline.is_successful(open_result):
+        open_result.unwrap().close()
+
+
 _CANCEL_TASKS = tasks.Tasks()
--- a/tamarackpier/standin/links.py
+++ b/tamarackpier/standin/links.py
@@ -278,6 +278,8 @@
         """Starts a call; a fault's outcome says whether it may have run."""
         world = self.link.world
         decided_at = world.clock()
+        if await self._crashes_after_pause(address):
+            return result.Failure(codes.fault(codes.UPSTREAM_FAILED, "reset"))
         lead = await self._reach(address, _OPEN_TIMEOUT_S)
         if lead is None:
             return _unreachable()
@@ -340,6 +342,21 @@
         await link.wait_until_running()
         return None
 
+    async def _crashes_after_pause(self, address: str) -> bool:
+        """Waits while a call stays in the socket buffer of a paused engine.
+
+        Returns:
+            Whether the engine crashed instead of resuming.
+        """
+        target = self.link.world.farm.engines[address]
+        if target.health is not engine.Health.PAUSED:
+            return False
+        while target.health is engine.Health.PAUSED and self.link.reaches(
+            ENGINES
+        ):
+            await asyncio.sleep(0.05)
+        return target.health is engine.Health.CRASHED
+
     async def _deliver_after_pause(self, order: replica_model.Order) -> None:
         """Delivers an order when a paused engine resumes, unless it crashes."""
         world = self.link.world
--- a/tests/test_own_face_silence.py
+++ b/tests/test_own_face_silence.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+import aiohttp
 from nose2.tools import params
 from returns import pipeline, result
 
@@ -11,7 +12,7 @@
 from tamarackpier.replica import gate
 from tamarackpier.request import admit, dispatch, loads, place, relay, retry
 from tamarackpier.standin import engine as fake_engine
-from tamarackpier.standin import spec, virtual
+from tamarackpier.standin import rough_engine, spec, virtual
 from tamarackpier.standin import world as world_lib
 from tamarackpier.upstream import engine
 from tests import fixtures
@@ -278,6 +279,86 @@
     virtual.run(check())
 
 
+def test_an_engine_that_is_silent_before_its_answer_leaves_no_call_unanswered():
+    async def check():
+        face = _Face({"http://d.1": (0.01, _NEVER)}, {"d.1": 4})
+
+        async def later():
+            await asyncio.sleep(0.02)
+            return await face.answer(timeout_s=4.0)
+
+        answers = await _answers(face, later())
+        assert answers[0].code is codes.UPSTREAM_FAILED
+        assert 3.9 < face.clock() < 4.5
+
+    virtual.run(check())
+
+
+def test_a_call_at_an_engine_silent_before_its_answer_goes_on_elsewhere():
+    async def check():
+        face = _Face({"http://d.1": (0.01, _NEVER)}, {"d.1": 4})
+
+        async def later():
+            await asyncio.sleep(0.02)
+            return await face.answer()
+
+        asyncio.get_running_loop().call_later(
+            0.3, lambda: face.slots.update({"d.2": 4})
+        )
+        answers = await _answers(face, later())
+        assert answers == [_TOKENS + 1], answers
+        assert face.engines.opened == ["http://d.1", "http://d.2"]
+        assert face.engines.cancelled == ["http://d.1"]
+        assert face.clock() < 3.0
+
+    virtual.run(check())
+
+
+async def _answer_over_http(script, timeout_s):
+    async with (
+        rough_engine.serve_script(script) as (address, arrivals),
+        aiohttp.ClientSession() as session,
+    ):
+        face = _Face({}, {})
+        face.relay.engines = engine.HttpEngineClient(session, 1.0, 1.0)
+        face.gate.add(
+            fixtures.evidence(address=f"http://{address}", at=face.clock())
+        )
+        answers = await _answers(face, face.answer(timeout_s=timeout_s))
+        await asyncio.sleep(0.1)
+        paths = [arrival.head.split()[1] for arrival in arrivals]
+    return answers[0], paths
+
+
+def test_a_call_that_an_engine_accepts_and_never_answers_ends_in_time():
+    async def script(request):
+        await request.reader.read()
+
+    async def check():
+        fault, paths = await _answer_over_http(script, 1.0)
+        assert fault.code is codes.UPSTREAM_FAILED
+        assert paths == ["/generate", "/cancel"]
+
+    asyncio.run(asyncio.wait_for(check(), 5.0))
+
+
+def test_an_engine_silent_for_a_second_before_its_answer_answers_the_call():
+    async def script(request):
+        await asyncio.sleep(_SILENCE_S)
+        body = b"id: 0\ndata: [DONE]\n\n"
+        call_id = request.header(engine.CALL_ID_HEADER)
+        headers = f"{engine.CALL_ID_HEADER}: {call_id}\r\n"
+        await request.write(
+            rough_engine.encode_answer(request, body, extra_headers=headers)
+        )
+
+    async def check():
+        answer, paths = await _answer_over_http(script, 5.0)
+        assert (answer, paths) == (1, ["/generate"])
+
+    asyncio.run(asyncio.wait_for(check(), 5.0))
+
+
 @params(1, 2, 3)
 def test_engines_silent_for_a_second_are_not_replaced_by_the_planner(seed):
     async def check():
