Refuse heads that are late: one owner of callers' connections

`header_timeout_ms` was decoded and used nowhere, so half a head held a connection for ever. The phases of a connection and their time limits are now a state machine without a network (traffic/caller_connection.py); daemon/serving.py feeds it with what httptools and uvicorn report, and closes when it says so. One timer a connection is armed again only when it ends or a limit is nearer. A late head is answered 408 with code 3012, which says that the request has not run. Both faces have the same owner: ours had no limit on heads at all, and now has one of 10 s, and one of 64 KiB.

Closes are counted by cause, with the age of the connection; open connections by phase are gauges, on our own face in the counters' document. Closes by us that may cross a request get a line within the limit for routine lines.

Changed limits still reach new connections only.

--- a/tamarackpier/codes.py
+++ b/tamarackpier/codes.py
@@ -330,6 +330,13 @@
     _AFTER_CHANGE,
     "The request's head exceeds the limit.",
 )
+HEAD_TIMEOUT = _define(
+    3012,
+    "head_timeout",
+    408,
+    _LATER,
+    "The request's head did not arrive in time; the request has not run.",
+)
 ACCOUNT_OVER_SHARE = _define(
     3101,
     "account_over_share",
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -35,7 +35,13 @@
 from tamarackpier.peer import roster as roster_lib
 from tamarackpier.platform import decode, engines, interfaces, store, wire
 from tamarackpier.routing import table
-from tamarackpier.traffic import factory, reach, relay, stopping
+from tamarackpier.traffic import (
+    caller_connection,
+    factory,
+    reach,
+    relay,
+    stopping,
+)
 from tamarackpier.wire import carriage_pb2_grpc, entry_pb2_grpc
 
 __all__ = ["HostedInstance", "create_instance"]
@@ -299,7 +305,7 @@
             self.relay, self.metrics, self.clock
         )
         self.caller_listener = serving.HttpListener(
-            self.caller_app, listen.callers, 60.0
+            self.caller_app, listen.callers, 60.0, self.metrics
         )
         metrics_port = listen.first_internal_port + 1
         self.listeners = (
@@ -355,6 +361,9 @@
         for name, count in invariants.checks.items():
             gauges[f"invariant_checked_{name}"] = count
             gauges[f"invariant_broken_{name}"] = invariants.breaches[name]
+        phases = self.caller_listener.owner.count_by_phase()
+        for name, count in phases.items():
+            gauges[f"connections_{name}"] = count
         for name, value in gauges.items():
             self.metrics.gauge(name, value)
         return self.metrics.text()
@@ -483,7 +492,10 @@
         self.engine_rows.notify_waiters()
         limits = routing.configuration.limits
         self.caller_listener.set_limits(
-            limits.header_bytes, limits.idle_timeout_s
+            limits.header_bytes,
+            caller_connection.Limits(
+                limits.idle_timeout_s, limits.header_timeout_s
+            ),
         )
 
     def _is_planning(self) -> bool:
--- a/tamarackpier/daemon/http.py
+++ b/tamarackpier/daemon/http.py
@@ -15,6 +15,7 @@
 __all__ = [
     "DisconnectMiddleware",
     "FaultError",
+    "fault_body",
     "fault_document",
     "read_body",
     "write_fault",
@@ -130,6 +131,12 @@
     return document
 
 
+def fault_body(fault: codes.Fault) -> bytes:
+    """Returns the JSON body of a response that reports one fault."""
+    document = fault_document(fault)
+    return json.dumps({"error": document, "errors": [document]}).encode()
+
+
 def write_fault(response: falcon.asgi.Response, error: FaultError) -> None:
     """Writes the faults of an error as the response."""
     first_fault = error.faults[0]
--- a/tamarackpier/daemon/main.py
+++ b/tamarackpier/daemon/main.py
@@ -18,8 +18,9 @@
 
 from tamarackpier import codes, logs
 from tamarackpier import settings as settings_lib
-from tamarackpier.daemon import callers, http, operators
+from tamarackpier.daemon import callers, http, operators, serving
 from tamarackpier.daemon import node as node_lib
+from tamarackpier.traffic import caller_connection
 from tamarackpier.upstream import bounded_http
 from tamarackpier.wire import peer_pb2_grpc
 
@@ -29,6 +30,9 @@
 _GRPC_STOP_S = 1.0
 # Largest number of connections that wait to be accepted.
 _BACKLOG = 2048
+# Time limits of callers' connections.
+_IDLE_TIMEOUT_S = 30.0
+_HEAD_TIMEOUT_S = 10.0
 
 
 @click.command()
@@ -105,17 +109,26 @@
     node: node_lib.Node, stop: Callable[[], None]
 ) -> uvicorn.Config:
     host, _, port = node.settings.instance.caller_address.rpartition(":")
+    owner = serving.ConnectionOwner(
+        caller_connection.Limits(
+            _IDLE_TIMEOUT_S,
+            _HEAD_TIMEOUT_S,
+            node.settings.limits.body_timeout_s,
+        ),
+        node.metrics,
+        http.fault_body,
+    )
+    node.connections_by_phase = owner.count_by_phase
     return uvicorn.Config(
         http.DisconnectMiddleware(create_app(node, stop)),
         host=host.strip("[]"),
         port=int(port),
-        http="httptools",
+        http=owner.create_protocol,  # type: ignore[arg-type]
         loop="asyncio",
         lifespan="off",
         log_level="error",
         access_log=False,
         backlog=_BACKLOG,
-        timeout_keep_alive=30,
         timeout_graceful_shutdown=30,
         server_header=False,
         proxy_headers=False,
--- a/tamarackpier/daemon/node.py
+++ b/tamarackpier/daemon/node.py
@@ -86,6 +86,8 @@
         listed_at: Monotonic time of the last read of that list, in seconds.
         refuses_new: Whether new requests are refused because the instance is
             shutting down.
+        connections_by_phase: Returns the number of callers' open connections
+            in each phase.
     """
 
     def __init__(
@@ -113,6 +115,7 @@
         self.listed: dict[str, interfaces.ListedInstance] = {}
         self.listed_at = self.started_at
         self.refuses_new = False
+        self.connections_by_phase: Callable[[], dict[str, int]] = dict
         self._revision = 0
         self._revised_at = self.started_at
         self._is_leaving = False
--- a/tamarackpier/daemon/operators.py
+++ b/tamarackpier/daemon/operators.py
@@ -116,7 +116,7 @@
 
 
 class _CountersResource(_Resource):
-    """Serves counters, latencies and the results of invariant checks."""
+    """Serves counters, latencies, invariant checks and open connections."""
 
     async def on_get(
         self, request: falcon.asgi.Request, response: falcon.asgi.Response
@@ -126,6 +126,7 @@
         invariants = self.node.invariants
         document["invariant_checks"] = dict(invariants.checks)
         document["invariant_breaches"] = dict(invariants.breaches)
+        document["connections"] = self.node.connections_by_phase()
         http.write_json(response, document)
 
 
--- a/tamarackpier/daemon/serving.py
+++ b/tamarackpier/daemon/serving.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import logging as std_logging
 from collections.abc import Callable
 from typing import Any
@@ -14,11 +15,13 @@
 from uvicorn import server as uvicorn_server
 from uvicorn.protocols.http import httptools_impl
 
-from tamarackpier import codes
+from tamarackpier import codes, logs, metrics
 from tamarackpier.daemon import http
+from tamarackpier.platform import edge
+from tamarackpier.traffic import caller_connection
 from tamarackpier.upstream import gateway
 
-__all__ = ["AsgiCaller", "HttpListener"]
+__all__ = ["AsgiCaller", "ConnectionOwner", "HttpListener"]
 
 _BACKLOG = 2048
 _HEAD_TOO_LARGE = (
@@ -27,12 +30,92 @@
 )
 # Key of the request target, as it was sent, in the state of the ASGI scope.
 TARGET_KEY = "target"
+# Closes that may cross a request that is on its way.
+_CROSSING_CAUSES = frozenset(
+    {
+        caller_connection.Cause.IDLE,
+        caller_connection.Cause.HEAD_LATE,
+        caller_connection.Cause.BODY_LATE,
+        caller_connection.Cause.STOP,
+    }
+)
+
+
+class ConnectionOwner:
+    """Owns the callers' connections of one listening address.
+
+    Attributes:
+        limits: The time limits of connections.
+        metrics: Counters and ages of closes; None to count nothing.
+        connections: The open connections.
+        fault_body: Returns the JSON body of an answer that reports a fault.
+    """
+
+    def __init__(
+        self,
+        limits: caller_connection.Limits,
+        counts: metrics.Metrics | None = None,
+        fault_body: Callable[[codes.Fault], bytes] = edge.fault_answer,
+    ) -> None:
+        self.limits = caller_connection.TimeLimits(limits)
+        self.metrics = counts
+        self.connections: set[_Protocol] = set()
+        self.fault_body = fault_body
+
+    def create_protocol(
+        self,
+        config: uvicorn.Config,
+        server_state: uvicorn_server.ServerState,
+        app_state: dict[str, Any],
+        _loop: asyncio.AbstractEventLoop | None = None,
+    ) -> asyncio.Protocol:
+        """Returns the protocol of a new connection; uvicorn calls this."""
+        return _Protocol(self, config, server_state, app_state, _loop)
+
+    def change_limits(self, limits: caller_connection.Limits) -> None:
+        """Puts time limits in force for new connections."""
+        self.limits = caller_connection.TimeLimits(limits)
+
+    def record_close(
+        self,
+        connection: caller_connection.Connection,
+        closed_in: caller_connection.Phase,
+        age_s: float,
+    ) -> None:
+        """Counts a closed connection, and logs it if a request may cross.
+
+        Args:
+            connection: The connection.
+            closed_in: Phase in which it was closed.
+            age_s: Time since it was opened, in seconds.
+        """
+        cause = connection.cause
+        if self.metrics is None or cause is None:
+            return
+        self.metrics.count("connection_closed", cause.value)
+        self.metrics.record("connection_age", age_s)
+        if cause in _CROSSING_CAUSES:
+            logs.decision(
+                "connection closed",
+                cause=cause.value,
+                phase=closed_in.value,
+                age_s=round(age_s, 3),
+            )
+
+    def count_by_phase(self) -> dict[str, int]:
+        """Returns the number of open connections in each phase."""
+        counts = collections.Counter(
+            protocol.connection.phase for protocol in self.connections
+        )
+        return {phase.value: counts[phase] for phase in caller_connection.Phase}
 
 
 class _Protocol(httptools_impl.HttpToolsProtocol):
-    """Keeps the target of a request as it was sent, and limits its head.
+    """Keeps a request's target as it was sent, and the connection's limits.
 
     Attributes:
+        owner: The owner of the connection.
+        connection: The state of the connection.
         head_bytes: Bytes received so far of the head of the current request.
         max_head_bytes: Maximum size of a head, in bytes, on all listeners.
         is_in_body: Whether the head of the current request has ended.
@@ -42,34 +125,139 @@
     max_head_bytes = 1 << 16
     is_in_body = False
 
+    def __init__(
+        self,
+        owner: ConnectionOwner,
+        config: uvicorn.Config,
+        server_state: uvicorn_server.ServerState,
+        app_state: dict[str, Any],
+        loop: asyncio.AbstractEventLoop | None = None,
+    ) -> None:
+        super().__init__(config, server_state, app_state, loop)
+        self.owner = owner
+        self._limits = owner.limits
+        self._opened_at = self.loop.time()
+        self.connection = caller_connection.Connection(self._opened_at)
+        self._closed_in = self.connection.phase
+        self._timer: asyncio.TimerHandle | None = None
+
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
     ) -> None:
         super().connection_made(transport)
-        # A connection that never sends a request is closed like an idle one.
-        self.timeout_keep_alive_task = self.loop.call_later(
-            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        self.owner.connections.add(self)
+        self.update_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._note_close(
+            caller_connection.Cause.BROKEN_OFF
+            if exc is None
+            else caller_connection.Cause.CALLER
         )
+        self.owner.connections.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self.owner.record_close(
+            self.connection,
+            self._closed_in,
+            self.loop.time() - self._opened_at,
+        )
+        super().connection_lost(exc)
+
+    def eof_received(self) -> None:
+        self._note_close(caller_connection.Cause.CALLER)
+        super().eof_received()
 
     def data_received(self, data: bytes) -> None:
+        self.connection.receive(self.loop.time())
         if not self.is_in_body:
             self.head_bytes += len(data)
         super().data_received(data)
         is_reading_head = not self.is_in_body and self.head_bytes > 0
         if is_reading_head and self.head_bytes > self.max_head_bytes:
+            self._note_close(caller_connection.Cause.HEAD_TOO_LARGE)
             self.transport.write(_HEAD_TOO_LARGE)
             self.transport.close()
+        self.update_timer()
+
+    def on_message_begin(self) -> None:
+        self.connection.begin_head(self.loop.time())
+        super().on_message_begin()
 
     def on_headers_complete(self) -> None:
         self.is_in_body = True
+        self.connection.end_head(self.loop.time())
         self.scope["state"][TARGET_KEY] = self.url
         super().on_headers_complete()
 
     def on_message_complete(self) -> None:
         self.is_in_body = False
         self.head_bytes = 0
+        self.connection.end_body(self.loop.time())
         super().on_message_complete()
 
+    def on_response_complete(self) -> None:
+        self.connection.end_answer(self.loop.time())
+        if self.transport.is_closing():
+            self._note_close(caller_connection.Cause.ANSWERED)
+        super().on_response_complete()
+        # The timer of this class replaces uvicorn's.
+        self._unset_keepalive_if_required()
+        self.update_timer()
+
+    def send_400_response(self, msg: str) -> None:
+        self._note_close(caller_connection.Cause.MALFORMED)
+        super().send_400_response(msg)
+
+    def shutdown(self) -> None:
+        super().shutdown()
+        if self.transport.is_closing():
+            self._note_close(caller_connection.Cause.STOP)
+
+    def update_timer(self) -> None:
+        """Arms the timer, unless one ends earlier and then arms it again."""
+        due = self.connection.due(self._limits)
+        if due is None or (
+            self._timer is not None and self._timer.when() <= due
+        ):
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self.loop.call_at(due, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        cause = self.connection.overdue(self._limits, self.loop.time())
+        if cause is None:
+            self.update_timer()
+            return
+        self._note_close(cause)
+        if cause is caller_connection.Cause.HEAD_LATE:
+            self.transport.write(self._head_refusal())
+        self.transport.close()
+
+    def _note_close(self, cause: caller_connection.Cause) -> None:
+        if self.connection.cause is None:
+            self._closed_in = self.connection.phase
+            self.connection.close(cause, self.loop.time())
+
+    def _head_refusal(self) -> bytes:
+        limit_s = self._limits.current.head_s
+        fault = codes.fault(
+            codes.HEAD_TIMEOUT,
+            f"request head did not arrive within {limit_s:g} s; "
+            "the request has not run",
+        )
+        if self.owner.metrics is not None:
+            self.owner.metrics.count("refused", fault.code.name)
+        body = self.owner.fault_body(fault)
+        return (
+            b"HTTP/1.1 408 Request Timeout\r\n"
+            b"content-type: application/json\r\n"
+            b"content-length: %d\r\nconnection: close\r\n\r\n" % len(body)
+        ) + body
+
 
 class HttpListener:
     """An HTTP server on one listening address.
@@ -79,15 +267,25 @@
         port: Port to listen on.
         config: Configuration of uvicorn.
         state: Open connections and running requests.
+        owner: Owner of the connections.
         server: The server; None before `listen` and after `close`.
     """
 
-    def __init__(self, app: Any, address: str, idle_timeout_s: float) -> None:
+    def __init__(
+        self,
+        app: Any,
+        address: str,
+        idle_timeout_s: float,
+        counts: metrics.Metrics | None = None,
+    ) -> None:
         self.host, _, port_text = address.rpartition(":")
         self.port = int(port_text)
+        self.owner = ConnectionOwner(
+            caller_connection.Limits(idle_timeout_s), counts
+        )
         self.config = uvicorn.Config(
             app,
-            http=_Protocol,
+            http=self.owner.create_protocol,  # type: ignore[arg-type]
             ws="none",
             loop="asyncio",
             lifespan="off",
@@ -96,7 +294,6 @@
             proxy_headers=False,
             server_header=False,
             date_header=False,
-            timeout_keep_alive=idle_timeout_s,  # type: ignore[arg-type]
         )
         self.config.load()
         self.state = uvicorn_server.ServerState()
@@ -112,17 +309,18 @@
             self._protocol, self.host.strip("[]"), self.port, backlog=_BACKLOG
         )
 
-    def set_limits(self, head_bytes: int, idle_timeout_s: float) -> None:
+    def set_limits(
+        self, head_bytes: int, limits: caller_connection.Limits
+    ) -> None:
         """Sets the limits of connections.
 
         Args:
             head_bytes: Maximum size of a request's head in bytes, for all
                 connections of all listeners.
-            idle_timeout_s: Time after which an idle connection is closed, in
-                seconds; for new connections of this listener.
+            limits: Time limits of this listener's connections.
         """
         _Protocol.max_head_bytes = head_bytes
-        self.config.timeout_keep_alive = idle_timeout_s  # type: ignore[assignment]
+        self.owner.change_limits(limits)
 
     def close(self) -> None:
         """Stops listening; open connections stay."""
@@ -136,7 +334,7 @@
             connection.shutdown()  # type: ignore[union-attr]
 
     def _protocol(self) -> asyncio.Protocol:
-        return _Protocol(self.config, self.state, {})
+        return self.owner.create_protocol(self.config, self.state, {})
 
 
 class AsgiCaller:
