Limits of time act on open connections, raised and lowered

A connection kept the limits that were in force when it was opened. Now the timer of each connection asks for the limits in force, and a change arms timers anew that ended too late. A raised limit holds at once, and so does any limit of heads. A lowered idle limit holds 2.5 s later, when callers know it: until then a connection is closed only when its idle time exceeds the older limit too.

--- a/tamarackpier/daemon/serving.py
+++ b/tamarackpier/daemon/serving.py
@@ -73,8 +73,11 @@
         return _Protocol(self, config, server_state, app_state, _loop)
 
     def change_limits(self, limits: caller_connection.Limits) -> None:
-        """Puts time limits in force for new connections."""
-        self.limits = caller_connection.TimeLimits(limits)
+        """Puts time limits in force, also for open connections."""
+        now = asyncio.get_running_loop().time()
+        if self.limits.change(limits, now):
+            for protocol in self.connections:
+                protocol.update_timer()
 
     def record_close(
         self,
@@ -135,7 +138,6 @@
     ) -> None:
         super().__init__(config, server_state, app_state, loop)
         self.owner = owner
-        self._limits = owner.limits
         self._opened_at = self.loop.time()
         self.connection = caller_connection.Connection(self._opened_at)
         self._closed_in = self.connection.phase
@@ -217,7 +219,7 @@
 
     def update_timer(self) -> None:
         """Arms the timer, unless one ends earlier and then arms it again."""
-        due = self.connection.due(self._limits)
+        due = self.connection.due(self.owner.limits)
         if due is None or (
             self._timer is not None and self._timer.when() <= due
         ):
@@ -228,7 +230,7 @@
 
     def _on_timer(self) -> None:
         self._timer = None
-        cause = self.connection.overdue(self._limits, self.loop.time())
+        cause = self.connection.overdue(self.owner.limits, self.loop.time())
         if cause is None:
             self.update_timer()
             return
@@ -243,7 +245,7 @@
             self.connection.close(cause, self.loop.time())
 
     def _head_refusal(self) -> bytes:
-        limit_s = self._limits.current.head_s
+        limit_s = self.owner.limits.current.head_s
         fault = codes.fault(
             codes.HEAD_TIMEOUT,
             f"request head did not arrive within {limit_s:g} s; "
--- a/tamarackpier/traffic/caller_connection.py
+++ b/tamarackpier/traffic/caller_connection.py
@@ -8,7 +8,7 @@
 
 __all__ = ["Cause", "Connection", "Limits", "Phase", "TimeLimits"]
 
-# Time after which callers know a limit that is in force here. It is the
+# Time after which callers know an idle limit that is in force here: the
 # platform's bound of 2 s, and what a request may take to arrive.
 CALLERS_KNOW_S = 2.5
 
@@ -62,16 +62,16 @@
     body_s: float = 30.0
 
 
-_LIMIT_OF_PHASE = {
-    Phase.WAITING: ("idle_s", Cause.IDLE),
-    Phase.IDLE: ("idle_s", Cause.IDLE),
-    Phase.READING_HEAD: ("head_s", Cause.HEAD_LATE),
-    Phase.READING_BODY: ("body_s", Cause.BODY_LATE),
+_CAUSES = {
+    Phase.WAITING: Cause.IDLE,
+    Phase.IDLE: Cause.IDLE,
+    Phase.READING_HEAD: Cause.HEAD_LATE,
+    Phase.READING_BODY: Cause.BODY_LATE,
 }
 
 
 class TimeLimits:
-    """The limits in force, and older ones that callers may still go by.
+    """The limits in force, and older idle limits that callers may go by.
 
     Attributes:
         current: The limits in force.
@@ -79,26 +79,28 @@
 
     def __init__(self, current: Limits) -> None:
         self.current = current
-        # Older limits, and until when callers may go by them.
-        self._older: list[tuple[Limits, float]] = []
+        # Older idle limits, and until when callers may go by them.
+        self._older_idle: list[tuple[float, float]] = []
 
     def change(self, limits: Limits, now: float) -> bool:
         """Puts limits in force and returns whether they are others."""
-        self._older = [item for item in self._older if item[1] > now]
+        self._older_idle = [
+            (idle_s, until) for idle_s, until in self._older_idle if until > now
+        ]
         if limits == self.current:
             return False
-        self._older.append((self.current, now + CALLERS_KNOW_S))
+        self._older_idle.append((self.current.idle_s, now + CALLERS_KNOW_S))
         self.current = limits
         return True
 
-    def due(self, name: str, since: float) -> float:
-        """Returns when a time that began at `since` exceeds a limit.
+    def idle_due(self, since: float) -> float:
+        """Returns when a connection that is idle since then is closed.
 
         A lowered limit holds once no caller can go by the older one.
         """
-        due = since + getattr(self.current, name)
-        for limits, until in self._older:
-            due = max(due, min(since + getattr(limits, name), until))
+        due = since + self.current.idle_s
+        for idle_s, until in self._older_idle:
+            due = max(due, min(since + idle_s, until))
         return due
 
 
@@ -168,19 +170,21 @@
 
     def due(self, limits: TimeLimits) -> float | None:
         """Returns when the time limit of the phase ends; None without one."""
-        entry = _LIMIT_OF_PHASE.get(self.phase)
-        if entry is None or (
-            self.phase is Phase.READING_BODY and self._unanswered
-        ):
-            return None
-        return limits.due(entry[0], self.since)
+        match self.phase:
+            case Phase.WAITING | Phase.IDLE:
+                return limits.idle_due(self.since)
+            case Phase.READING_HEAD:
+                return self.since + limits.current.head_s
+            case Phase.READING_BODY if not self._unanswered:
+                return self.since + limits.current.body_s
+        return None
 
     def overdue(self, limits: TimeLimits, now: float) -> Cause | None:
         """Returns why the connection is to be closed now; None if it isn't."""
         due = self.due(limits)
         if due is None or now < due:
             return None
-        return _LIMIT_OF_PHASE[self.phase][1]
+        return _CAUSES[self.phase]
 
     def _update(self, now: float) -> None:
         if self.cause is not None:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -216,6 +216,56 @@
         asyncio.run(check())
 
 
+def test_a_raised_idle_limit_closes_no_connection_by_the_older_one():
+    async def check(callers, platform):
+        await callers.set_limits(idle_timeout_s=1.0)
+        used = await callers.open_used(10)
+        await callers.set_limits(idle_timeout_s=4.0)
+        await asyncio.sleep(0.8 * 4.0 - 0.2)
+        statuses = [await _ask(item, f"r{i}") for i, item in enumerate(used)]
+        assert statuses == [200] * len(used)
+        for _, writer in used:
+            writer.close()
+
+    _run(check)
+
+
+def test_a_lowered_idle_limit_holds_for_open_connections_once_it_is_known():
+    async def check(callers, platform):
+        await callers.set_limits(idle_timeout_s=30.0)
+        used = await callers.open_used(10)
+        await callers.set_limits(idle_timeout_s=0.5)
+        lowered_at = time.monotonic()
+        # Callers may go by the older limit for 2 s.
+        await asyncio.sleep(1.9)
+        assert await _ask(used[0], "again") == 200
+        for reader, writer in used:
+            data = await asyncio.wait_for(reader.read(), 0.6 + SLACK_S)
+            assert data == b""
+            writer.close()
+        assert time.monotonic() - lowered_at > 2.0
+        text = callers.instance.metrics_text()
+        assert 'connection_closed_total{reason="idle"} 10' in text, text
+
+    _run(check)
+
+
+def test_a_raised_head_limit_holds_for_a_head_that_is_being_read():
+    async def check(callers, platform):
+        await callers.set_limits(header_timeout_s=2 * HEAD_LIMIT_S)
+        connection = await _connect(callers.address)
+        request = _request("slow head")
+        connection[1].write(request[:20])
+        await asyncio.sleep(0.2)
+        await callers.set_limits(header_timeout_s=30.0)
+        await asyncio.sleep(3 * HEAD_LIMIT_S)
+        connection[1].write(request[20:])
+        assert await _read_answer(connection[0]) == 200
+        connection[1].close()
+
+    _run(check)
+
+
 def test_open_connections_are_told_by_phase():
     async def check(callers, platform):
         platform.plain_answer_s = 0.5
@@ -323,6 +373,16 @@
     assert connections.Connection(20.0).due(limits) == 21.0
 
 
+def test_a_changed_head_limit_holds_at_once_for_an_open_head():
+    limits = connections.TimeLimits(_limits(head_s=5.0))
+    connection = connections.Connection(0.0)
+    connection.receive(1.0)
+    limits.change(_limits(head_s=2.0), 2.0)
+    assert connection.due(limits) == 3.0
+    limits.change(_limits(head_s=9.0), 2.5)
+    assert connection.due(limits) == 10.0
+
+
 def test_a_limit_lowered_twice_keeps_what_callers_may_go_by():
     limits = connections.TimeLimits(_limits(idle_s=5.0))
     limits.change(_limits(idle_s=2.0), 1.0)
