Log streams that are held at a silent replica, and when they go on

Without these lines the log of a request that waits for a silent engine shows an attempt and nothing more, and can't be told from one whose replica was not asked.

--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -4,7 +4,7 @@
 import contextlib
 from collections.abc import Iterator
 
-from tamarackpier import codes
+from tamarackpier import codes, logs
 from tamarackpier.fleet import model as fleet_model
 from tamarackpier.routing import model as routing_model
 from tamarackpier.traffic import (
@@ -164,7 +164,20 @@
     def can_move(reason: str) -> bool:
         is_counted = _move_name(stream_attempt, reason) != _MOVED_BEFORE_START
         set_bound(relay.is_bound(run, is_counted))
-        return not stream_attempt.is_bound and relay.reserve_move(run)
+        if not stream_attempt.is_bound and relay.reserve_move(run):
+            return True
+        if not stream_attempt.held_reason:
+            stream_attempt.held_at = relay.clock()
+            relay.metrics.count("stream_held")
+            logs.decision(
+                "stream held",
+                request=run.request.id,
+                engine=candidate.engine.id,
+                replica=stream_attempt.key.replica,
+                reason=reason,
+                may_be_sent_again=not stream_attempt.is_bound,
+            )
+        return False
 
     stream_attempt.can_move = can_move
     relay.streams.add(stream_attempt, relay.clock())
@@ -267,6 +280,13 @@
                 continue
             now = relay.clock()
             relay.streams.record_data(key, now)
+            if stream_attempt.held_reason:
+                logs.decision(
+                    "held stream goes on",
+                    request=run.request.id,
+                    engine=candidate.engine.id,
+                    after_s=round(now - stream_attempt.held_at, 3),
+                )
             stream_attempt.receive()
             if unread_tokens and data:
                 relay.replica_loads.finish_reading(key, unread_tokens)
--- a/tamarackpier/traffic/stream_attempts.py
+++ b/tamarackpier/traffic/stream_attempts.py
@@ -73,6 +73,8 @@
         can_move: Returns whether the stream could go on at another replica if
             its attempt ended for a reason.
         held_reason: Why the stream would move if it could; empty if it needn't.
+        held_at: Time from which it has been held, in seconds on the relay's
+            clock.
         is_bound: Whether the stream can't go on at any other replica.
     """
 
@@ -89,6 +91,7 @@
     sent_at: float = 0.0
     can_move: Callable[[str], bool] = lambda reason: True
     held_reason: str = ""
+    held_at: float = 0.0
     is_bound: bool = False
 
     def interrupt(self, reason: str, is_lost: bool = False) -> bool:
