An idle close reads what has arrived before it closes

The timer of an idle connection closed it although a request was in the socket's buffer, if it arrived after the event loop had polled the sockets in the pass in which the timer ended, such as beside a callback that takes long. The kernel resets the connection then. Now the timer looks whether unread bytes are there and gives the loop a pass to read them; a late head gets one such pass. Put-off closes are counted, and so are closes that crossed a request.

--- a/tamarackpier/daemon/serving.py
+++ b/tamarackpier/daemon/serving.py
@@ -5,9 +5,12 @@
 listeners and connections are closed.
 """
 
+import array
 import asyncio
 import collections
+import fcntl
 import logging as std_logging
+import termios
 from collections.abc import Callable
 from typing import Any
 
@@ -30,6 +33,8 @@
 )
 # Key of the request target, as it was sent, in the state of the ASGI scope.
 TARGET_KEY = "target"
+# Time in which the event loop reads what has arrived at a socket.
+_READ_PASS_S = 0.001
 # Closes that may cross a request that is on its way.
 _CROSSING_CAUSES = frozenset(
     {
@@ -84,6 +89,7 @@
         connection: caller_connection.Connection,
         closed_in: caller_connection.Phase,
         age_s: float,
+        unread_bytes: int,
     ) -> None:
         """Counts a closed connection, and logs it if a request may cross.
 
@@ -91,6 +97,7 @@
             connection: The connection.
             closed_in: Phase in which it was closed.
             age_s: Time since it was opened, in seconds.
+            unread_bytes: Number of bytes that had arrived and were not read.
         """
         cause = connection.cause
         if self.metrics is None or cause is None:
@@ -98,11 +105,14 @@
         self.metrics.count("connection_closed", cause.value)
         self.metrics.record("connection_age", age_s)
         if cause in _CROSSING_CAUSES:
+            if unread_bytes:
+                self.metrics.count("close_crossed_request", cause.value)
             logs.decision(
                 "connection closed",
                 cause=cause.value,
                 phase=closed_in.value,
                 age_s=round(age_s, 3),
+                unread_bytes=unread_bytes,
             )
 
     def count_by_phase(self) -> dict[str, int]:
@@ -142,6 +152,7 @@
         self.connection = caller_connection.Connection(self._opened_at)
         self._closed_in = self.connection.phase
         self._timer: asyncio.TimerHandle | None = None
+        self._is_put_off = False
 
     def connection_made(  # type: ignore[override]
         self, transport: asyncio.Transport
@@ -160,10 +171,12 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        # The socket is still open, but is no longer read.
         self.owner.record_close(
             self.connection,
             self._closed_in,
             self.loop.time() - self._opened_at,
+            _unread_bytes(self.transport),
         )
         super().connection_lost(exc)
 
@@ -189,6 +202,7 @@
 
     def on_headers_complete(self) -> None:
         self.is_in_body = True
+        self._is_put_off = False
         self.connection.end_head(self.loop.time())
         self.scope["state"][TARGET_KEY] = self.url
         super().on_headers_complete()
@@ -234,6 +248,15 @@
         if cause is None:
             self.update_timer()
             return
+        # The loop reads what has arrived before the timer ends again. Once is
+        # enough for a head: its bytes could put off the close for ever.
+        is_idle = cause is caller_connection.Cause.IDLE
+        if (is_idle or not self._is_put_off) and _unread_bytes(self.transport):
+            self._is_put_off = not is_idle
+            if self.owner.metrics is not None:
+                self.owner.metrics.count("close_put_off", cause.value)
+            self._timer = self.loop.call_later(_READ_PASS_S, self._on_timer)
+            return
         self._note_close(cause)
         if cause is caller_connection.Cause.HEAD_LATE:
             self.transport.write(self._head_refusal())
@@ -261,6 +284,16 @@
         ) + body
 
 
+def _unread_bytes(transport: asyncio.Transport) -> int:
+    """Returns how many bytes have arrived that the loop has not read."""
+    descriptor = transport.get_extra_info("socket").fileno()
+    if descriptor < 0:
+        return 0
+    count = array.array("i", [0])
+    fcntl.ioctl(descriptor, termios.FIONREAD, count)
+    return count[0]
+
+
 class HttpListener:
     """An HTTP server on one listening address.
 
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -1,6 +1,7 @@
 """Tests of callers' connections: their phases, time limits and closes."""
 
 import asyncio
+import socket
 import time
 import types
 from unittest import mock
@@ -181,11 +182,13 @@
     _run(check)
 
 
-def test_a_late_head_is_refused_on_the_own_face():
+def _run_on_own_face(check):
+    """Runs a check with a connection to our own face and its counters."""
+
     async def app(scope, receive, send):
         raise AssertionError("no request arrived completely")
 
-    async def check():
+    async def run_check():
         port = ports.free_port()
         node = types.SimpleNamespace(
             settings=types.SimpleNamespace(
@@ -203,17 +206,35 @@
         while not server.started:
             await asyncio.sleep(0.01)
         reader, writer = await _connect(f"127.0.0.1:{port}")
-        writer.write(HALF_HEAD)
         try:
-            await _check_refused(reader, HEAD_LIMIT_S)
+            await check(reader, writer, node.metrics.counters)
         finally:
             writer.close()
             server.should_exit = True
             await serving
-        assert node.metrics.counters["connection_closed:head_late"] == 1
 
     with mock.patch.object(main, "_HEAD_TIMEOUT_S", HEAD_LIMIT_S, create=True):
-        asyncio.run(check())
+        asyncio.run(run_check())
+
+
+def test_a_late_head_is_refused_on_the_own_face():
+    async def check(reader, writer, counters):
+        writer.write(HALF_HEAD)
+        await _check_refused(reader, HEAD_LIMIT_S)
+        assert counters["connection_closed:head_late"] == 1
+
+    _run_on_own_face(check)
+
+
+def test_a_head_without_end_takes_no_more_memory_on_the_own_face():
+    async def check(reader, writer, counters):
+        writer.write(HALF_HEAD + b"x" * (1 << 17))
+        answer = await asyncio.wait_for(reader.readline(), SLACK_S)
+        assert answer.startswith(b"HTTP/1.1 431 "), answer
+        await asyncio.sleep(0.1)
+        assert counters["connection_closed:head_too_large"] == 1
+
+    _run_on_own_face(check)
 
 
 def test_a_raised_idle_limit_closes_no_connection_by_the_older_one():
@@ -266,6 +287,93 @@
     _run(check)
 
 
+async def _send_beside_timer(limit_s, sent, data):
+    """Has data arrive in the same pass of the event loop as a timer ends.
+
+    The loop has polled the sockets by then, and does so only after the timer.
+
+    Args:
+        limit_s: Time limit that ends; it began shortly before the call.
+        sent: Socket from which the data is sent.
+        data: The data.
+    """
+    loop = asyncio.get_running_loop()
+    loop.call_later(limit_s - 0.3, time.sleep, 0.5)
+    loop.call_later(limit_s - 0.2, sent.send, data)
+    await asyncio.sleep(limit_s + 0.3)
+
+
+def _raw_connection(address):
+    host, _, port = address.rpartition(":")
+    connection = socket.create_connection((host, int(port)))
+    connection.setblocking(False)
+    return connection
+
+
+async def _receive(connection):
+    """Returns what arrives within a second; empty after a close."""
+    loop = asyncio.get_running_loop()
+    try:
+        return await asyncio.wait_for(loop.sock_recv(connection, 65_536), 1.0)
+    except (ConnectionError, TimeoutError) as error:
+        return repr(error).encode()
+
+
+def test_an_idle_close_discards_no_request_that_has_arrived():
+    async def check(callers, platform):
+        await callers.set_limits(idle_timeout_s=1.0)
+        # The older limit no longer counts.
+        await asyncio.sleep(connections.CALLERS_KNOW_S)
+        loop = asyncio.get_running_loop()
+        connection = _raw_connection(callers.address)
+        await loop.sock_sendall(connection, _request("first"))
+        answer = await _receive(connection)
+        assert answer.startswith(b"HTTP/1.1 200 "), answer
+        await _send_beside_timer(1.0, connection, _request("second"))
+        answer = await _receive(connection)
+        assert answer.startswith(b"HTTP/1.1 200 "), answer
+        connection.close()
+        text = callers.instance.metrics_text()
+        assert "tamarackpier_close_put_off_total" in text, text
+
+    _run(check)
+
+
+def test_a_head_whose_end_has_arrived_in_time_is_not_refused():
+    async def check(callers, platform):
+        await callers.set_limits(header_timeout_s=1.0)
+        loop = asyncio.get_running_loop()
+        connection = _raw_connection(callers.address)
+        request = _request("first")
+        await loop.sock_sendall(connection, request[:20])
+        await asyncio.sleep(0.05)
+        await _send_beside_timer(0.95, connection, request[20:])
+        answer = await _receive(connection)
+        assert answer.startswith(b"HTTP/1.1 200 "), answer
+        connection.close()
+
+    _run(check)
+
+
+def test_a_close_that_crosses_a_request_is_counted():
+    async def check(callers, platform):
+        await callers.set_limits(idle_timeout_s=1.0)
+        connection = _raw_connection(callers.address)
+        await callers.deployment.until(
+            lambda: callers.instance.caller_listener.state.connections
+        )
+        # The request arrives after the close was decided.
+        callers.instance.caller_listener.close_idle()
+        connection.send(_request("crossing"))
+        answer = await _receive(connection)
+        assert not answer.startswith(b"HTTP/1.1"), answer
+        text = callers.instance.metrics_text()
+        assert 'close_crossed_request_total{reason="stop"} 1' in text, text
+        connection.close()
+
+    _run(check)
+
+
 def test_open_connections_are_told_by_phase():
     async def check(callers, platform):
         platform.plain_answer_s = 0.5
