--- a/tamarackpier/fleet/model.py
+++ b/tamarackpier/fleet/model.py
@@ -154,9 +154,12 @@
         return len(self.members) == self.span and self.span > 0
 
     @property
-    def is_configured(self) -> bool:
-        """Whether the configuration has its model with so many members."""
-        return 0 < len(self.members) <= self.span
+    def is_outdated(self) -> bool:
+        """Whether no configured model has so many members.
+
+        A replica whose model is not known isn't.
+        """
+        return bool(self.model) and len(self.members) > self.span
 
     @property
     def lacks_member(self) -> bool:
--- a/tamarackpier/fleet/retirement.py
+++ b/tamarackpier/fleet/retirement.py
@@ -198,7 +198,7 @@
         if replica.leaving and replica.is_complete:
             return "a member is leaving", True
         if replica.lead_state in _SERVING_STATES:
-            if not replica.is_configured:
+            if replica.is_outdated:
                 return "its model is not configured", True
             if not replica.is_complete:
                 return "a member is gone", False
