End a suspension for silence when all members answer again

What callers saw: engines that fell silent for a moment and went on got no requests for up to 3 s after that; requests for a model whose only replica was suspended were refused although its members answered.

Cause: a suspension lasted 3 s whatever the members answered meanwhile, and peers kept their copies as long; only the engine, not its replica, was taken back when it answered.

Now a suspension says since when members are silent, if nothing but that speaks against the replica. Silent members of a suspended replica are asked every 0.15 s by the instance that found them so; once all of them answer, a round asks all members, and if all are well the suspension ends, here and at peers, which are told at once and in each message for 5 s. Any other round that finds all well does the same. Each instance keeps for 5 s when the members were asked that answered, so an older silence that a peer passes on has no effect, while a later one suspends again. A copy seems later by the time its message took; copies within 0.25 s count as one, so that going round makes none of them later.

What something proves (ended, elsewhere, broken, closing, nothing moves) stays to its end, and so does the suspension of a replica that its planner gave up: the planner makes it lasting, and tells peers, when it confirms the failure. Members that are silent to an instance keep its own requests away even if they answer a peer.

On the wire: Suspended.silent_ms and EntryStatus.sound are new; zero and none, as sent by earlier builds, leave a suspension to last as it did.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -202,6 +202,9 @@
         self.prober.on_suspended = lambda suspension: (
             self.peers.start_exchanges(is_urgent=True)
         )
+        self.prober.on_suspension_ended = lambda key: (
+            self.peers.start_exchanges(is_urgent=True)
+        )
         self.statuses.has_links = lambda: not self.reach.is_cut
         self.link_checker = link_checks.LinkChecker(
             self.reach,
--- a/tamarackpier/daemon/peer_status.py
+++ b/tamarackpier/daemon/peer_status.py
@@ -161,6 +161,11 @@
                     left_ms=max(0, int((suspension.until - now) * 1e3)),
                     silent=suspension.silent,
                     reason=suspension.reason,
+                    silent_ms=(
+                        0
+                        if suspension.silent_at is None
+                        else ages.age_ms(suspension.silent_at, now)
+                    ),
                 )
                 for suspension in self.fleet.suspended.values()
                 if suspension.silent or suspension.reason
@@ -170,6 +175,14 @@
                 for engine, observed_at in self.fleet.engines_newer_than_rows()
             ],
         )
+        status.sound.extend(
+            entry_pb2.Sound(
+                replica=key.replica,
+                fence=key.fence,
+                age_ms=ages.age_ms(asked_at, now),
+            )
+            for key, asked_at in self.fleet.sound.items()
+        )
         crash_codec.add_crashes(self.relay.quarantine, status, now)
         status.limits.extend(
             _limit_to_wire(limit, now)
@@ -200,6 +213,8 @@
 
         for state in status.states:
             self._receive_state(state, state.instance == sender_hash, now)
+        for sound in status.sound:
+            self._receive_sound(sound, status.sender.id, now)
         for suspended in status.suspended:
             self._receive_suspension(suspended, status.sender.id, now)
         if self.fleet.may_be_stale(now):
@@ -504,10 +519,27 @@
             return
         remaining_s = min(_MAX_RECEIVED_SUSPENSION_S, suspended.left_ms / 1e3)
         suspension = fleet_view.Suspension(
-            key, now + remaining_s, tuple(suspended.silent), suspended.reason
+            key,
+            now + remaining_s,
+            tuple(suspended.silent),
+            suspended.reason,
+            ages.local_time(suspended.silent_ms, now)
+            if suspended.silent_ms
+            else None,
         )
         self.prober.receive_suspension(suspension, sender)
 
+    def _receive_sound(
+        self, sound: entry_pb2.Sound, sender: str, now: float
+    ) -> None:
+        key = model.ReplicaKey(sound.replica, sound.fence)
+        asked_at = ages.local_time(sound.age_ms, now)
+        if (
+            key in self.fleet.replicas()
+            and now - asked_at < fleet_view.SOUND_KEEP_S
+        ):
+            self.prober.receive_sound(key, asked_at, sender)
+
     def _receive_limit(
         self, message: entry_pb2.RateLimit, sender: str, now: float
     ) -> None:
--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import math
 from collections.abc import Awaitable, Callable, Sequence
 
 from absl import logging
@@ -32,6 +33,11 @@
 _HELD_CHECK_S = 0.2
 # Time between two probes of an engine that did not answer.
 _RECHECK_INTERVAL_S = 0.7
+# The same while the engine's replica is suspended for its silence.
+_SUSPENDED_RECHECK_INTERVAL_S = 0.15
+# Time by which two peers' copies of one suspension may differ, since they don't
+# pass it on at once.
+_COPY_TOLERANCE_S = 0.25
 # Time after a probe round during which failed attempts and polls start none.
 _FAILURE_PROBE_INTERVAL_S = 0.3
 # Age of a replica's data up to which it contradicts a peer that found members
@@ -135,6 +141,8 @@
         gateway: Client for calls to engines.
         streams: Streams in flight; moved off replicas that cannot serve.
         on_suspended: Called with each new suspension, to notify peers.
+        on_suspension_ended: Called with the key of a replica whose members
+            answer again, to notify peers.
         on_probed: Called with the key of a replica after a probe, the result,
             and the start of the probe in seconds on the monotonic clock.
         confirm_links: Returns whether the silence of engines that were asked
@@ -161,6 +169,9 @@
         self.on_suspended: Callable[[fleet_view.Suspension], None] = (
             lambda suspension: None
         )
+        self.on_suspension_ended: Callable[[model.ReplicaKey], None] = (
+            lambda key: None
+        )
         self.on_probed: Callable[
             [model.ReplicaKey, ProbeResult, float], None
         ] = lambda key, probe_result, started_at: None
@@ -192,9 +203,12 @@
             if not is_running:
                 round_task.add_done_callback(self._record_round_for_silence)
         for engine_id, silent_since in list(self.fleet.silent.items()):
+            interval_s = _RECHECK_INTERVAL_S
+            if self._suspension_for_silence(engine_id) is not None:
+                interval_s = _SUSPENDED_RECHECK_INTERVAL_S
             if (
                 now - self._rechecked_at.get(engine_id, silent_since)
-                > _RECHECK_INTERVAL_S
+                > interval_s
             ):
                 self._rechecked_at[engine_id] = now
                 self._tasks.start(self._recheck(engine_id))
@@ -262,6 +276,58 @@
         )
         return True
 
+    def make_lasting(self, key: model.ReplicaKey) -> None:
+        """Suspends a replica that is given up, even if it answers again."""
+        suspension = self.fleet.suspended.get(key)
+        if suspension is not None and suspension.silent_at is None:
+            return
+        now = self.clock()
+        lasting = fleet_view.Suspension(
+            key,
+            now + _SUSPENSION_S,
+            suspension.silent if suspension is not None else (),
+            suspension.reason if suspension is not None else "given up",
+        )
+        self.suspend(lasting, "given up")
+        self.on_suspended(lasting)
+
+    def end_suspension(
+        self, key: model.ReplicaKey, asked_at: float, source: str
+    ) -> bool:
+        """Ends a suspension for silence, as all members answer again.
+
+        Args:
+            key: Key of the replica.
+            asked_at: Time at which the members were asked, in seconds on the
+                monotonic clock.
+            source: Origin of the answers, for metrics and the log.
+
+        Returns:
+            Whether a suspension ended.
+        """
+        if not self.fleet.record_sound(key, asked_at):
+            return False
+        self.metrics.count("suspension_ended", source)
+        logs.event(
+            "suspension ended",
+            replica=key.replica,
+            fence=key.fence,
+            source=source,
+        )
+        return True
+
+    def receive_sound(
+        self, key: model.ReplicaKey, asked_at: float, peer_id: str
+    ) -> None:
+        """Applies that a replica's members answered a peer after a silence.
+
+        Members that are silent to this instance remain so.
+        """
+        known_at = self.fleet.sound.get(key)
+        if known_at is not None and asked_at < known_at + _COPY_TOLERANCE_S:
+            asked_at = min(asked_at, known_at)
+        self.end_suspension(key, asked_at, f"peer {peer_id}")
+
     def receive_suspension(
         self, suspension: fleet_view.Suspension, peer_id: str
     ) -> None:
@@ -278,6 +344,17 @@
             self.metrics.count("suspension_doubted")
             self.probe_after_failure(key)
             return
+        known = self.fleet.suspended.get(key)
+        if (
+            known is not None
+            and known.silent_at is not None
+            and suspension.silent_at is not None
+            and suspension.silent_at < known.silent_at + _COPY_TOLERANCE_S
+        ):
+            # Each copy seems later by the time that the message took.
+            suspension = dataclasses.replace(
+                suspension, silent_at=known.silent_at
+            )
         self.suspend(suspension, f"peer {peer_id}")
 
     async def _probe_replica(
@@ -334,12 +411,43 @@
                 now + _SUSPENSION_S,
                 probe_result.silent,
                 probe_result.reason,
+                started_at
+                if probe_result.silent and not probe_result.is_lost
+                else None,
             )
             if self.suspend(suspension, "asked"):
                 self.on_suspended(suspension)
+        else:
+            self._record_sound(replica, started_at)
         self.on_probed(key, probe_result, started_at)
         return probe_result
 
+    def _record_sound(self, replica: model.Replica, asked_at: float) -> None:
+        """Records that all members of a replica answered that they are well."""
+        for _, member in replica.members:
+            if self.fleet.silent.get(member.id, math.inf) < asked_at:
+                del self.fleet.silent[member.id]
+                self._rechecked_at.pop(member.id, None)
+        suspension = self.fleet.suspended.get(replica.key)
+        if (
+            suspension is not None
+            and suspension.silent_at is not None
+            and self.end_suspension(replica.key, asked_at, "asked")
+        ):
+            self.on_suspension_ended(replica.key)
+
+    def _suspension_for_silence(
+        self, engine_id: str
+    ) -> fleet_view.Suspension | None:
+        """Returns the suspension of an engine's replica, if for silence."""
+        engine = self.fleet.engines.get(engine_id)
+        if engine is None or engine.membership is None:
+            return None
+        suspension = self.fleet.suspended.get(engine.membership.key)
+        if suspension is None or suspension.silent_at is None:
+            return None
+        return suspension
+
     async def _is_inconclusive(
         self, report_results: Sequence[ReportResult], started_at: float
     ) -> bool:
@@ -437,6 +545,12 @@
             self.fleet.silent.pop(engine_id, None)
             self._rechecked_at.pop(engine_id, None)
             logs.event("engine answers again", engine=engine_id)
+            suspension = self._suspension_for_silence(engine_id)
+            if suspension is not None and not any(
+                silent_id in self.fleet.silent
+                for silent_id in suspension.silent
+            ):
+                self.probe(suspension.key, f"{engine_id} answers again")
 
 
 async def _confirm(asked_at: float) -> bool:
--- a/tamarackpier/daemon/zone_controller.py
+++ b/tamarackpier/daemon/zone_controller.py
@@ -200,7 +200,7 @@
             del self._verified_at[key]
         for key in set(self._silent_since) - set(self.fleet.suspended):
             del self._silent_since[key]
-        for key, suspension in self.fleet.suspended.items():
+        for key, suspension in list(self.fleet.suspended.items()):
             replica = self.fleet.replicas().get(key)
             if replica is None or key in self._verifications:
                 continue
@@ -214,7 +214,7 @@
             interval_s = _VERIFY_INTERVAL_S
             if key in self._silent_since:
                 if not self.bound_at(key):
-                    planner.confirm_failed(key)
+                    self._give_up(planner, key)
                     continue
                 interval_s = _KEPT_VERIFY_INTERVAL_S
             if elapsed_s < interval_s:
@@ -244,11 +244,18 @@
                     found=probe_result.reason,
                 )
             else:
-                planner.confirm_failed(key)
+                self._give_up(planner, key)
                 self.plan()
         finally:
             self._verifications.discard(key)
 
+    def _give_up(
+        self, planner: zone_planner.ZonePlanner, key: model.ReplicaKey
+    ) -> None:
+        """Confirms a replica's failure; from then on no answer revives it."""
+        planner.confirm_failed(key)
+        self.prober.make_lasting(key)
+
     def _may_go_on(
         self, key: model.ReplicaKey, probe_result: probing.ProbeResult
     ) -> bool:
--- a/tamarackpier/fleet/fleet_view.py
+++ b/tamarackpier/fleet/fleet_view.py
@@ -21,6 +21,9 @@
 # and on a slow machine twice as long.
 ANSWER_FRESH_S = 0.3
 _MAX_SUSPENSIONS = 4096
+# Time for which it is kept that a replica's members answered, since peers may
+# pass on an older suspension. Outlasts all copies of one.
+SOUND_KEEP_S = 5.0
 _MAX_GONE_ENGINES = 4096
 
 
@@ -33,12 +36,17 @@
         until: End of the suspension, in seconds on the monotonic clock.
         silent: IDs of the members that did not answer.
         reason: Reason for the suspension, for the log.
+        silent_at: Time at which members were asked that did not answer, if
+            only their silence speaks against the replica, in seconds on the
+            monotonic clock; later answers of all members end the suspension.
+            None if nothing ends it early.
     """
 
     key: model.ReplicaKey
     until: float
     silent: tuple[str, ...]
     reason: str
+    silent_at: float | None = None
 
 
 @dataclasses.dataclass
@@ -86,6 +94,9 @@
             disappeared while rows may have been stale, by ID, in seconds on
             the monotonic clock.
         suspended: Suspensions by replica.
+        sound: Time at which the members of each replica were last asked that
+            all answered that they are well, after a silence of theirs, in
+            seconds on the monotonic clock.
         silent: Time since which each engine that does not answer probes has
             been silent, by ID, in seconds on the monotonic clock.
         spans: Number of members of a complete replica, by service and model.
@@ -107,6 +118,7 @@
         self.engines: dict[str, model.EngineRecord] = {}
         self.pending_removals: dict[str, float] = {}
         self.suspended: dict[model.ReplicaKey, Suspension] = {}
+        self.sound: dict[model.ReplicaKey, float] = {}
         self.silent: dict[str, float] = {}
         self.spans: dict[tuple[str, str], int] = {}
         self.rows_fresh_from = 0.0
@@ -383,23 +395,64 @@
         ]
         for key in expired_keys:
             del self.suspended[key]
+        expired_keys = [
+            key
+            for key, asked_at in self.sound.items()
+            if asked_at + SOUND_KEEP_S <= now
+        ]
+        for key in expired_keys:
+            del self.sound[key]
         self._expire_observations(now)
         return removed
 
     def suspend(self, suspension: Suspension) -> bool:
         """Suspends a replica, or extends its suspension.
 
+        A silence from before the last answers of all members has no effect.
+
         Returns:
             Whether a suspension began; False if the replica was suspended
             before, or if too many replicas are suspended to add it.
         """
-        previous = self.suspended.get(suspension.key)
-        if previous is not None and previous.until >= suspension.until:
+        key = suspension.key
+        sound_at = self.sound.get(key, -math.inf)
+        if suspension.silent_at is not None and (
+            suspension.silent_at <= sound_at
+        ):
             return False
-        if previous is None and len(self.suspended) >= _MAX_SUSPENSIONS:
+        previous = self.suspended.get(key)
+        if previous is not None:
+            self.suspended[key] = _merge(previous, suspension)
             return False
-        self.suspended[suspension.key] = suspension
-        return previous is None
+        if len(self.suspended) >= _MAX_SUSPENSIONS:
+            return False
+        self.suspended[key] = suspension
+        return True
+
+    def record_sound(self, key: model.ReplicaKey, asked_at: float) -> bool:
+        """Records that all members of a replica answered that they are well.
+
+        Ends a suspension for an earlier silence.
+
+        Args:
+            key: Key of the replica.
+            asked_at: Time at which they were asked, in seconds on the
+                monotonic clock.
+
+        Returns:
+            Whether a suspension ended.
+        """
+        if key in self.sound or len(self.sound) < _MAX_SUSPENSIONS:
+            self.sound[key] = max(asked_at, self.sound.get(key, -math.inf))
+        suspension = self.suspended.get(key)
+        if (
+            suspension is None
+            or suspension.silent_at is None
+            or suspension.silent_at >= asked_at
+        ):
+            return False
+        del self.suspended[key]
+        return True
 
     def replicas(self) -> Mapping[model.ReplicaKey, model.Replica]:
         """Returns the replicas that any engine is a member of, by key."""
@@ -512,3 +565,13 @@
         self._open = None
         self._by_service = None
         self._zones = None
+
+
+def _merge(previous: Suspension, suspension: Suspension) -> Suspension:
+    """Returns the suspension that two of one replica amount to."""
+    lasting = [one for one in (previous, suspension) if one.silent_at is None]
+    later = max(previous, suspension, key=lambda one: one.until)
+    if lasting:
+        return dataclasses.replace(lasting[0], until=later.until)
+    silent_at = max(previous.silent_at or 0.0, suspension.silent_at or 0.0)
+    return dataclasses.replace(later, silent_at=silent_at)
--- a/tests/exchange_fixtures.py
+++ b/tests/exchange_fixtures.py
@@ -62,6 +62,7 @@
             ),
         )
         self.suspended = []
+        self.sound = []
         self.roster = roster_lib.Roster(presence(index))
         self.contacts = contacts
         self.keepers = []
@@ -75,7 +76,8 @@
             types.SimpleNamespace(
                 receive_suspension=lambda *arguments: self.suspended.append(
                     arguments
-                )
+                ),
+                receive_sound=lambda *arguments: self.sound.append(arguments),
             ),
             lambda: self.version,
             lambda: 0,
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -288,6 +288,13 @@
     fence=strategies.integers(0, 2),
     left_ms=NUMBER,
     silent=strategies.lists(TEXT, max_size=3),
+    silent_ms=NUMBER,
+)
+SOUND = strategies.builds(
+    entry_pb2.Sound,
+    replica=TEXT | strategies.just("r1"),
+    fence=strategies.integers(0, 2),
+    age_ms=NUMBER,
 )
 LIMIT = strategies.builds(
     entry_pb2.RateLimit,
@@ -307,6 +314,7 @@
     introduced=strategies.lists(PRESENCE, max_size=3),
     states=strategies.lists(STATE, max_size=3),
     suspended=strategies.lists(SUSPENDED, max_size=2),
+    sound=strategies.lists(SOUND, max_size=2),
     observed=strategies.lists(OBSERVED, max_size=2),
     limits=strategies.lists(LIMIT, max_size=3),
     departures=strategies.lists(DEPARTURE, max_size=3),
