Let the planner wait out a short silence at any limits

With probes or evidence limits shorter than the defaults, the planner of the own face took an engine that stood still for 1.2 s for lost and healed its replica with a spare, which ends every answer that runs there. Calls with a retry left went on; others would have ended with an error event.

Cause: two failed probes, or a report older than the evidence limit, made a member lost, whether its engine had refused the probes or only said nothing. At 0.5 s and 2.5 s (the defaults) that takes 2 s or more of silence, at 0.1 s per probe 0.4 s.

Now a probe that fails sooner than its timeout was refused and counts as before; a member that is only silent is lost after 2 s at the earliest. The gate still closes after one failed probe, so no new call is sent there meanwhile.

--- a/tamarackpier/daemon/domains.py
+++ b/tamarackpier/daemon/domains.py
@@ -36,6 +36,10 @@
 _SETTLE_PROBE_PERIODS = 4
 # Number of consecutive failed probes after which an engine counts as lost.
 _LOST_AFTER_FAILED_PROBES = 2
+# Time for which an engine may stand still and go on.
+_PATIENCE_S = 2.0
+# Share of its timeout that a probe without an answer takes at least.
+_TIMEOUT_SHARE = 0.9
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,6 +77,9 @@
         reports: The latest report of each engine that has answered a probe,
             by instance ID.
         failed_probes: Number of consecutive failed probes, by instance ID.
+        silent_since: Monotonic time at which the first of consecutive probes
+            without an answer was sent, in seconds, by instance ID; absent if
+            the last probe was answered or refused.
         replicas: The replica rows, by replica ID.
         assignments: The assignment rows, by instance ID.
         rows_read_at: Monotonic time of the last read of the rows, in
@@ -86,6 +93,7 @@
         self.engines: dict[str, interfaces.ListedInstance] = {}
         self.reports: dict[str, model.EngineReport] = {}
         self.failed_probes: collections.Counter[str] = collections.Counter()
+        self.silent_since: dict[str, float] = {}
         self.replicas: dict[str, model.Replica] = {}
         self.assignments: dict[str, model.Assignment] = {}
         self.rows_read_at: float | None = None
@@ -208,16 +216,25 @@
             self.assignments,
             self.replicas,
             targets,
-            timing.evidence_bound_s,
+            max(timing.evidence_bound_s, _PATIENCE_S),
             draining_since,
             timing.evidence_bound_s + _DRAIN_SETTLE_MARGIN_S,
             frozenset(
                 instance_id
                 for instance_id, count in self.failed_probes.items()
                 if count >= _LOST_AFTER_FAILED_PROBES
+                and not self._may_go_on(instance_id)
             ),
         )
 
+    def _may_go_on(self, instance_id: str) -> bool:
+        """Returns whether an engine is only silent, and not for long."""
+        silent_since = self.silent_since.get(instance_id)
+        return (
+            silent_since is not None
+            and self.dependencies.clock() - silent_since < _PATIENCE_S
+        )
+
     def close(self) -> None:
         """Cancels the probes in flight."""
         self._probes.cancel()
@@ -235,11 +252,28 @@
         if pipeline.is_successful(report_result):
             self.reports[instance_id] = report_result.unwrap()
             self.failed_probes.pop(instance_id, None)
+            self.silent_since.pop(instance_id, None)
         else:
             self.dependencies.metrics.count(
                 "probe_failed", report_result.failure().code.name
             )
             self.failed_probes[instance_id] += 1
+            self._record_unanswered(instance_id, requested_at)
+
+    def _record_unanswered(self, instance_id: str, requested_at: float) -> None:
+        """Records whether a failed probe shows more than silence.
+
+        A probe that fails sooner than its timeout was refused, so the engine
+        has ended.
+        """
+        dependencies = self.dependencies
+        timeout_s = (
+            engine.PROBE_TIMEOUT_PERIODS * dependencies.timing.probe_period_s
+        )
+        if dependencies.clock() - requested_at < _TIMEOUT_SHARE * timeout_s:
+            self.silent_since.pop(instance_id, None)
+        else:
+            self.silent_since.setdefault(instance_id, requested_at)
 
     def _check_exclusive(self) -> None:
         owners: dict[str, str] = {}
--- a/tamarackpier/daemon/node.py
+++ b/tamarackpier/daemon/node.py
@@ -560,7 +560,9 @@
         platform_http.HttpObjects(*endpoint),
         platform_http.HttpInstanceList(*endpoint),
         engine.HttpEngineClient(
-            session, 2 * timing.probe_period_s, timing.order_flight_s
+            session,
+            engine.PROBE_TIMEOUT_PERIODS * timing.probe_period_s,
+            timing.order_flight_s,
         ),
         service_lib.HttpServiceClient(unpooled_session),
         peers.GrpcTransport(),
--- a/tamarackpier/standin/links.py
+++ b/tamarackpier/standin/links.py
@@ -238,7 +238,10 @@
         self, address: str, instance_id: str, now: float
     ) -> result.Result[replica_model.EngineReport, codes.Fault]:
         """Asks an engine for a report of its state."""
-        target = await self._reach(address, spec.timing().probe_period_s * 2)
+        target = await self._reach(
+            address,
+            engine_client.PROBE_TIMEOUT_PERIODS * spec.timing().probe_period_s,
+        )
         if target is None:
             return _unreachable()
         world = self.link.world
--- a/tamarackpier/upstream/engine.py
+++ b/tamarackpier/upstream/engine.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "CALL_ID_HEADER",
+    "PROBE_TIMEOUT_PERIODS",
     "BrokenStreamError",
     "Dispatch",
     "EngineClient",
@@ -26,6 +27,8 @@
 
 # Header with the ID of a call, which engines send back in their answer.
 CALL_ID_HEADER = "X-Call-Id"
+# Timeout of a probe, in probe periods.
+PROBE_TIMEOUT_PERIODS = 2
 _OK = 200
 _CONFLICT = 409
 _TOO_MANY_REQUESTS = 429
--- a/tests/test_own_face_silence.py
+++ b/tests/test_own_face_silence.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+from unittest import mock
 
 import aiohttp
 from nose2.tools import params
@@ -359,36 +360,80 @@
     asyncio.run(asyncio.wait_for(check(), 5.0))
 
 
+async def _world_with_replica(seed):
+    """Returns a world with one replica of four members, and its lead."""
+    world = world_lib.World(spec.WorldSpec(), seed)
+    world.start()
+    await asyncio.sleep(4.0)
+    assert await world.submit(1, 4)
+    await asyncio.sleep(12.0)
+    lead = next(
+        name
+        for name, fake in world.farm.engines.items()
+        if fake.replica_id and fake.members[0] == name
+    )
+    return world, lead
+
+
+async def _check_short_silence(seed, silent_count):
+    """Lets members be silent for a second; checks that nothing changes."""
+    world, lead = await _world_with_replica(seed)
+    for number in range(8):
+        world.draft(f"letter {number}", 100, max_attempts=1)
+    await asyncio.sleep(1.0)
+    silent = world.farm.engines[lead].members[:silent_count]
+    for name in silent:
+        world.farm.engines[name].pause(world.clock())
+    await asyncio.sleep(_SILENCE_S)
+    for name in silent:
+        world.farm.engines[name].restart(world.clock())
+    await asyncio.sleep(20.0)
+    assert dict(world.ledger.drafts) == {"whole": 8}
+    assert not world.find_violations()
+    for entry in world.entries.values():
+        counters = entry.node.metrics.counters
+        assert not counters["replica_change:heal"]
+        assert not counters["replica_change:release"]
+
+
 @params((1, 1), (2, 1), (3, 1), (1, 4), (2, 4))
 def test_engines_silent_for_a_second_are_not_replaced_by_the_planner(
     seed, silent_count
 ):
+    virtual.run(_check_short_silence(seed, silent_count))
+
+
+@params((0.1, 2.5), (0.1, 0.5), (0.5, 1.0))
+def test_short_limits_make_no_planner_take_a_second_of_silence_for_a_loss(
+    probe_period_s, evidence_bound_s
+):
+    timing = dataclasses.replace(
+        spec.timing(),
+        probe_period_s=probe_period_s,
+        evidence_bound_s=evidence_bound_s,
+    )
+    with mock.patch.object(spec, "timing", lambda: timing):
+        virtual.run(_check_short_silence(1, 1))
+
+
+@params((0.1, 2.5), (0.5, 2.5))
+def test_crashed_engines_are_replaced_without_waiting_out_a_silence(
+    probe_period_s, evidence_bound_s
+):
+    timing = dataclasses.replace(
+        spec.timing(),
+        probe_period_s=probe_period_s,
+        evidence_bound_s=evidence_bound_s,
+    )
+
     async def check():
-        world = world_lib.World(spec.WorldSpec(), seed)
-        world.start()
-        await asyncio.sleep(4.0)
-        assert await world.submit(1, 4)
-        await asyncio.sleep(12.0)
-        lead = next(
-            name
-            for name, fake in world.farm.engines.items()
-            if fake.replica_id and fake.members[0] == name
+        world, lead = await _world_with_replica(1)
+        world.farm.engines[lead].crash(world.clock())
+        await asyncio.sleep(1.5)
+        assert sum(
+            entry.node.metrics.counters["replica_change:heal"]
+            for entry in world.entries.values()
         )
-        for number in range(8):
-            world.draft(f"letter {number}", 100, max_attempts=1)
-        await asyncio.sleep(1.0)
-        silent = world.farm.engines[lead].members[:silent_count]
-        for name in silent:
-            world.farm.engines[name].pause(world.clock())
-        await asyncio.sleep(_SILENCE_S)
-        for name in silent:
-            world.farm.engines[name].restart(world.clock())
-        await asyncio.sleep(20.0)
-        assert dict(world.ledger.drafts) == {"whole": 8}
-        assert not world.find_violations()
-        for entry in world.entries.values():
-            counters = entry.node.metrics.counters
-            assert not counters["replica_change:heal"]
-            assert not counters["replica_change:release"]
 
-    virtual.run(check())
+    with mock.patch.object(spec, "timing", lambda: timing):
+        virtual.run(check())
