--- a/tests/test_own_face_upstreams.py
+++ b/tests/test_own_face_upstreams.py
@@ -1,10 +1,12 @@
 """Tests of faulty upstreams on the product's own face, on loopback."""
 
 import asyncio
+import dataclasses
 import random
 import time
 
 import aiohttp
+from nose2.tools import params
 from returns import pipeline, result
 
 from tamarackpier import codes, invariants, metrics, quarantine, settings
@@ -121,3 +123,49 @@
             assert max(sent) < endless.MAX_BYTES
 
     asyncio.run(check())
+
+
+def _run_at_silent_service(silence_s, call):
+    """Returns the result of a call and the number of times it was sent."""
+
+    async def script(request):
+        await asyncio.sleep(silence_s)
+        await request.write(rough_engine.encode_answer(request, b"done"))
+
+    async def run():
+        async with (
+            rough_engine.serve_script(script) as (address, arrivals),
+            aiohttp.ClientSession(
+                connector=bounded_http.BoundedConnector(limit=0)
+            ) as session,
+        ):
+            relay = _service_relay(
+                service.HttpServiceClient(session),
+                quarantine.Quarantine(3, 600.0),
+            )
+            relay.services["orders"] = settings.ServiceSettings(
+                upstreams=(f"http://{address}",)
+            )
+            relay.budget = retry.RetryBudget(0.0, max_balance=0.0)
+            answer = await relay.run(call)
+            return answer, len(arrivals)
+
+    return asyncio.run(run())
+
+
+@params(True, False)
+def test_a_silent_service_that_goes_on_answers_its_calls(is_repeatable):
+    answer, sent_count = _run_at_silent_service(
+        1.2, _call(1, b"fine", is_repeatable)
+    )
+    assert answer.unwrap().body == b"done"
+    assert sent_count == 1
+
+
+@params(True, False)
+def test_a_call_of_a_silent_service_ends_at_its_deadline(is_repeatable):
+    call = _call(1, b"fine", is_repeatable)
+    call = dataclasses.replace(call, deadline=time.monotonic() + 0.5)
+    answer, sent_count = _run_at_silent_service(1.2, call)
+    assert answer.failure().code is codes.OUTCOME_UNKNOWN
+    assert sent_count == 1
