--- a/tamarackpier/settings.py
+++ b/tamarackpier/settings.py
@@ -79,8 +79,8 @@
         queue_length: Largest number of requests queued for a replica.
         default_deadline_s: Deadline of a request that sets none, in seconds.
         max_deadline_s: Longest deadline that a caller may set, in seconds.
-        progress_timeout_s: Longest time without progress on a stream, in
-            seconds.
+        progress_timeout_s: Time without progress, in seconds, after which a
+            call goes on at another replica if it can.
         retry_share: Retries allowed per first attempt.
         domains_used: Number of fabric domains to which one entry instance
             sends the requests of one model; the amount of evidence that it
