Soak planned work and silent engines, and judge how each request ends

After the random faults it now plays a phase in which nothing unplanned happens: leads, members, plain engines, several at once or one after the other stand still for 0.8 to 1.3 s; routes move and come back, weights, time-outs, attempts, keys, limits and routes change in series; instances reload and stop meanwhile. Routes without resumption and with one attempt have traffic. Each request must get a whole answer or a status, or its own time must be over; silence and stalls of the soak's process excuse nothing. Instances have a stop grace of 8 s in this phase, as the 2 s of the rest would let a stop cut streams at 1.8 s. The phase draws from a source of its own, so seeds keep their faults. The earlier checks are unchanged.

--- a/tests/process_fixtures.py
+++ b/tests/process_fixtures.py
@@ -14,11 +14,12 @@
 
 STOP_GRACE_S = 2.0
 REQUEST_TIMEOUT_S = 5.0
+EVENT_COUNT = 12
 # Indices into the ports of an entry instance.
 CALLER_PORT, READY_PORT, ADDRESS_PORT, FIRST_INTERNAL_PORT = range(4)
 
 
-def headers(request_id):
+def headers(request_id, event_count=EVENT_COUNT):
     """Returns the headers of a draft or order of a caller."""
     return {
         "Host": "a.example",
@@ -26,15 +27,18 @@
         wire.Header.REQUEST_ID: request_id,
         wire.Header.DEADLINE_MS: str(int(REQUEST_TIMEOUT_S * 1e3)),
         wire.Header.MODEL: "large",
-        wire.Header.TOKEN_COUNT: f"100,{EVENT_COUNT}",
+        wire.Header.TOKEN_COUNT: f"100,{event_count}",
     }
 
 
-EVENT_COUNT = 12
-COMPLETE_DRAFT = b"".join(
-    b"id: %d\ndata: e%d\n\n" % (number, number)
-    for number in range(1, EVENT_COUNT + 1)
-)
+def draft(event_count=EVENT_COUNT):
+    """Returns the body of a complete draft."""
+    return b"".join(
+        b"id: %d\ndata: e%d\n\n" % (number, number)
+        for number in range(1, event_count + 1)
+    )
+
+
 SPEC = dataclasses.replace(
     hosted_fixtures.SPEC,
     models=tuple(
@@ -109,6 +113,10 @@
         """Opens the links and writes the settings file."""
         await self.store_link.open()
         await self.caller_link.open()
+        self.write_settings(log_level=log_level)
+
+    def write_settings(self, stop_grace_s=STOP_GRACE_S, log_level="info"):
+        """Writes the settings file, which SIGHUP and a start apply."""
         internal_port = self.ports[FIRST_INTERNAL_PORT]
         self.settings_path.write_text(
             f"""[instance]
@@ -126,7 +134,7 @@
 [store]
 address = {self.store_link.address}
 [bounds]
-stop_grace_s = {STOP_GRACE_S}
+stop_grace_s = {stop_grace_s}
 """
         )
 
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -9,11 +9,13 @@
 checked against what the entry guarantees.
 
 Faults start one after another and may overlap. After all of them have ended,
-callers begin to send a request that crashes engines, again and again, and
-others that share a crashing part, one engine names a limit, and the instances
-are restarted one at a time. This rolling restart must not cut off a request
-that an engine runs, most requests must be served during it, what crashes
-engines must stay refused, and the limit must hold.
+`process_planned` plays planned work and short silences of engines, during which
+each request must get an answer or a refusal. Then callers begin to send a
+request that crashes engines, again and again, and others that share a crashing
+part, one engine names a limit, and the instances are restarted one at a time.
+This rolling restart must not cut off a request that an engine runs, most
+requests must be served during it, what crashes engines must stay refused, and
+the limit must hold.
 """
 
 import asyncio
@@ -44,6 +46,7 @@
     ports,
     process_faults,
     process_fixtures,
+    process_planned,
 )
 
 START_TIMEOUT_S = 20.0
@@ -167,11 +170,12 @@
         """Adds a violated guarantee to the report."""
         self.report.violations.append(violation)
 
-    async def run(self, seconds):
+    async def run(self, seconds, planned_seconds=0.0):
         """Plays the whole run and returns its report.
 
         Args:
             seconds: Duration of the phase in which faults start, in seconds.
+            planned_seconds: The same of the phase of planned work; 0 for none.
         """
         await self.platform.start()
         for domain in range(2):
@@ -202,6 +206,8 @@
                     asyncio.ensure_future(self._watch_versions())
                 )
                 await self._inject_faults(seconds)
+                if planned_seconds:
+                    await process_planned.Phase(self).run(planned_seconds)
                 self.limit_an_engine()
                 background_tasks.append(
                     asyncio.ensure_future(self._send_crashing_requests())
@@ -237,8 +243,13 @@
             engine.record, address=engine_link.address
         )
 
-    def configure(self):
-        """Writes a new configuration version, which adds the route /vN/."""
+    def configure(self, routes=process_fixtures.ROUTES, **changes):
+        """Writes a new configuration version, which adds the route /vN/.
+
+        Args:
+            routes: The other routes.
+            **changes: Other fields of the configuration that differ.
+        """
         self.version += 1
         version_routes = tuple(
             hosted_fixtures.route(
@@ -252,8 +263,8 @@
         self.platform.configure(
             hosted_fixtures.configuration(
                 self.version,
-                process_fixtures.ROUTES + version_routes,
-                services=process_fixtures.SERVICES,
+                routes + version_routes,
+                **{"services": process_fixtures.SERVICES} | changes,
             )
         )
 
@@ -420,21 +431,18 @@
         """
         rng = random.Random(f"{self.seed}/{index}")
         while True:
-            address = await self._resolve_address(rng)
+            entry = await self.resolve_entry(rng)
+            # The address of the link to the instance, not of the instance.
+            address = entry.caller_link.address
             for _ in range(rng.randrange(1, 12)):
                 path = rng.choice(("/draft/", "/draft/", "/order/"))
                 if not await self.send(path, address):
                     break
                 await asyncio.sleep(rng.uniform(0, 2 * THINK_TIME_S))
 
-    async def _resolve_address(self, rng):
-        """Returns an address for callers, as resolved by a random instance.
-
-        It is the address of the link to the instance, not of the instance.
-        """
-        links = {
-            entry.caller_address: entry.caller_link for entry in self.entries
-        }
+    async def resolve_entry(self, rng):
+        """Returns an instance for callers, as resolved by a random one."""
+        entries = {entry.caller_address: entry for entry in self.entries}
         while True:
             entry = rng.choice(self.entries)
             port = entry.ports[process_fixtures.ADDRESS_PORT]
@@ -446,7 +454,7 @@
                 ) as response:
                     if response.status == 200:
                         addresses = (await response.json())["addresses"]
-                        return links[rng.choice(addresses)].address
+                        return entries[rng.choice(addresses)]
             await asyncio.sleep(THINK_TIME_S)
 
     async def send(self, path, address):
@@ -483,15 +491,24 @@
                 )
             return False
         self.report.outcomes[f"{kind} {response.status}"] += 1
-        self._check_answer(kind, request_id, response, body)
+        expected = b"ran " + request_id.encode()
+        if kind == "draft":
+            expected = process_fixtures.draft()
+        self.check_answer(kind, request_id, response, body, expected)
         return response.status == 200
 
-    def _check_answer(self, kind, request_id, response, body):
+    def check_answer(self, kind, request_id, response, body, expected):
+        """Checks a whole answer, or a refusal.
+
+        Args:
+            kind: Kind of the request; only an `order` runs at most once.
+            request_id: ID of the request.
+            response: The response.
+            body: Its body.
+            expected: What the body must be if the request was served.
+        """
         status = response.status
         if status == 200:
-            expected = b"ran " + request_id.encode()
-            if kind == "draft":
-                expected = process_fixtures.COMPLETE_DRAFT
             if body != expected or wire.Header.PROOF not in response.headers:
                 self.add_violation(
                     f"{request_id} got a wrong body or no proof: {body[:200]!r}"
@@ -654,6 +671,7 @@
     restores_store: bool = False,
     other_commit: str = "",
     is_rollback: bool = False,
+    planned_seconds: float = 0.0,
 ) -> Report:
     """Plays one seed; keeps the logs of the instances after a violation.
 
@@ -665,6 +683,8 @@
         other_commit: Commit whose build the instances run before the rolling
             restart, which replaces it by this build; empty for this build.
         is_rollback: Whether that build replaces this one instead.
+        planned_seconds: Duration of the phase of planned work, in seconds; 0
+            for none.
     """
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(seed, count, pathlib.Path(folder), restores_store)
@@ -673,7 +693,7 @@
             soak.builds = (
                 (None, other_build) if is_rollback else (other_build, None)
             )
-        report = asyncio.run(soak.run(seconds))
+        report = asyncio.run(soak.run(seconds, planned_seconds))
         if report.violations:
             log_folder = pathlib.Path(tempfile.gettempdir()) / f"soak-{seed}"
             log_folder.mkdir(exist_ok=True)
@@ -695,6 +715,11 @@
     default=20.0,
     help="Duration of the phase in which faults start, in seconds.",
 )
+@click.option(
+    "--planned-seconds",
+    default=10.0,
+    help="Duration of the phase of planned work, in seconds; 0 for none.",
+)
 @click.option("--instances", default=3, help="Number of entry instances.")
 @click.option(
     "--restores", is_flag=True, help="Restores the store from copies as well."
@@ -711,6 +736,7 @@
     seed: int,
     runs: int,
     seconds: float,
+    planned_seconds: float,
     instances: int,
     restores: bool,
     other_commit: str,
@@ -720,7 +746,13 @@
     failed_seeds = []
     for run_seed in range(seed, seed + runs):
         report = run(
-            run_seed, seconds, instances, restores, other_commit, rollback
+            run_seed,
+            seconds,
+            instances,
+            restores,
+            other_commit,
+            rollback,
+            planned_seconds,
         )
         if report.violations:
             failed_seeds.append(run_seed)
