Pass on no age that a message can't carry

An instance that a peer had told of a limit with the greatest age of all, 2^32 - 1 ms, could build no status message any more: the age it passed on was out of range. It told nobody anything until the limit was gone. Ages are bounded to what messages carry now. The new test failed before with ValueError.

--- a/tamarackpier/daemon/peer_status.py
+++ b/tamarackpier/daemon/peer_status.py
@@ -626,7 +626,7 @@
     observed = entry_pb2.Observed(
         engine=engine.id,
         incarnation=engine.incarnation,
-        age_ms=max(0, int(age_s * 1e3)),
+        age_ms=min(ages.MAX_AGE_MS, max(0, int(age_s * 1e3))),
         model=engine.model,
         staged=engine.staged,
     )
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -345,6 +345,20 @@
     node.partners(5.0)
 
 
+def test_the_greatest_age_in_a_message_can_be_passed_on():
+    node = exchange_fixtures.Node(0, [], lambda: 10.0)
+    message = entry_pb2.EntryStatus(
+        limits=[
+            entry_pb2.RateLimit(
+                engine="r1-0", incarnation=1, rate=0, age_ms=(1 << 32) - 1
+            )
+        ]
+    )
+    node.statuses.receive(message)
+    (limit,) = node.statuses.build_request().limits
+    assert limit.age_ms == (1 << 32) - 1
+
+
 def test_messages_from_invented_peers_use_bounded_memory():
     node = exchange_fixtures.Node(0, (), lambda: 5.0)
 
