--- a/tests/test_odd_rows.py
+++ b/tests/test_odd_rows.py
@@ -208,7 +208,7 @@
             lambda: not any("o1" in each.fleet.engines for each in instances)
         )
         for instance in instances:
-            assert _errors(instance) == {}
+            assert _errors(instance) == {}, _errors(instance)
             engine_ids = sorted(instance.fleet.engines)
             assert engine_ids == ["e0", "e1", "e2", "e3", "e4", "o0"]
         assert loop_errors == []
@@ -260,7 +260,7 @@
         await asyncio.sleep(1.0)
         assert len(followers()) == 2
         for instance in instances:
-            assert _errors(instance) == {}
+            assert _errors(instance) == {}, _errors(instance)
             assert len(instance.fleet.engines) == 8
 
     deployment_fixtures.run(check, count=3)
@@ -338,7 +338,7 @@
             )
         )
         for instance in instances:
-            assert _errors(instance) == {}
+            assert _errors(instance) == {}, _errors(instance)
 
     deployment_fixtures.run(check, count=2)
 
