--- a/tamarackpier/daemon/peer_status.py
+++ b/tamarackpier/daemon/peer_status.py
@@ -175,13 +175,13 @@
                 for engine, observed_at in self.fleet.engines_newer_than_rows()
             ],
         )
-        status.sound.extend(
-            entry_pb2.Sound(
+        status.healthy.extend(
+            entry_pb2.Healthy(
                 replica=key.replica,
                 fence=key.fence,
                 age_ms=ages.age_ms(asked_at, now),
             )
-            for key, asked_at in self.fleet.sound.items()
+            for key, asked_at in self.fleet.healthy.items()
         )
         crash_codec.add_crashes(self.relay.quarantine, status, now)
         status.limits.extend(
@@ -213,8 +213,8 @@
 
         for state in status.states:
             self._receive_state(state, state.instance == sender_hash, now)
-        for sound in status.sound:
-            self._receive_sound(sound, status.sender.id, now)
+        for healthy in status.healthy:
+            self._receive_healthy(healthy, status.sender.id, now)
         for suspended in status.suspended:
             self._receive_suspension(suspended, status.sender.id, now)
         if self.fleet.may_be_stale(now):
@@ -529,16 +529,16 @@
         )
         self.prober.receive_suspension(suspension, sender)
 
-    def _receive_sound(
-        self, sound: entry_pb2.Sound, sender: str, now: float
+    def _receive_healthy(
+        self, healthy: entry_pb2.Healthy, sender: str, now: float
     ) -> None:
-        key = model.ReplicaKey(sound.replica, sound.fence)
-        asked_at = ages.local_time(sound.age_ms, now)
+        key = model.ReplicaKey(healthy.replica, healthy.fence)
+        asked_at = ages.local_time(healthy.age_ms, now)
         if (
             key in self.fleet.replicas()
-            and now - asked_at < fleet_view.SOUND_KEEP_S
+            and now - asked_at < fleet_view.HEALTHY_KEEP_S
         ):
-            self.prober.receive_sound(key, asked_at, sender)
+            self.prober.receive_healthy(key, asked_at, sender)
 
     def _receive_limit(
         self, message: entry_pb2.RateLimit, sender: str, now: float
--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -305,7 +305,7 @@
         Returns:
             Whether a suspension ended.
         """
-        if not self.fleet.record_sound(key, asked_at):
+        if not self.fleet.record_healthy(key, asked_at):
             return False
         self.metrics.count("suspension_ended", source)
         logs.event(
@@ -316,14 +316,14 @@
         )
         return True
 
-    def receive_sound(
+    def receive_healthy(
         self, key: model.ReplicaKey, asked_at: float, peer_id: str
     ) -> None:
         """Applies that a replica's members answered a peer after a silence.
 
         Members that are silent to this instance remain so.
         """
-        known_at = self.fleet.sound.get(key)
+        known_at = self.fleet.healthy.get(key)
         if known_at is not None and asked_at < known_at + _COPY_TOLERANCE_S:
             asked_at = min(asked_at, known_at)
         self.end_suspension(key, asked_at, f"peer {peer_id}")
@@ -420,11 +420,11 @@
             if self.suspend(suspension, "asked"):
                 self.on_suspended(suspension)
         else:
-            self._record_sound(replica, started_at)
+            self._record_healthy(replica, started_at)
         self.on_probed(key, probe_result, started_at)
         return probe_result
 
-    def _record_sound(self, replica: model.Replica, asked_at: float) -> None:
+    def _record_healthy(self, replica: model.Replica, asked_at: float) -> None:
         """Records that all members of a replica answered that they are well."""
         for _, member in replica.members:
             if self.fleet.silent.get(member.id, math.inf) < asked_at:
--- a/tamarackpier/daemon/zone_controller.py
+++ b/tamarackpier/daemon/zone_controller.py
@@ -25,7 +25,7 @@
 _KEPT_VERIFY_INTERVAL_S = 0.25
 # Silence after which a replica is given up although requests are bound to it.
 # The platform's engines may stand still for a second or so and go on.
-_MAX_SOUND_SILENCE_S = 2.0
+_MAX_KEPT_SILENCE_S = 2.0
 # Characters of the instance ID that names of replicas include.
 _MAX_ID_CHARACTERS = 40
 
@@ -297,7 +297,7 @@
             return False
         now = self.clock()
         silent_since = self._silent_since.setdefault(key, now)
-        return now - silent_since < _MAX_SOUND_SILENCE_S
+        return now - silent_since < _MAX_KEPT_SILENCE_S
 
     async def _send_order(
         self, planner: zone_planner.ZonePlanner, order: model.Order
--- a/tamarackpier/fleet/fleet_view.py
+++ b/tamarackpier/fleet/fleet_view.py
@@ -23,7 +23,7 @@
 _MAX_SUSPENSIONS = 4096
 # Time for which it is kept that a replica's members answered, since peers may
 # pass on an older suspension. Outlasts all copies of one.
-SOUND_KEEP_S = 5.0
+HEALTHY_KEEP_S = 5.0
 _MAX_GONE_ENGINES = 4096
 
 
@@ -94,7 +94,7 @@
             disappeared while rows may have been stale, by ID, in seconds on
             the monotonic clock.
         suspended: Suspensions by replica.
-        sound: Time at which the members of each replica were last asked that
+        healthy: Time at which the members of each replica were last asked that
             all answered that they are well, after a silence of theirs, in
             seconds on the monotonic clock.
         silent: Time since which each engine that does not answer probes has
@@ -118,7 +118,7 @@
         self.engines: dict[str, model.EngineRecord] = {}
         self.pending_removals: dict[str, float] = {}
         self.suspended: dict[model.ReplicaKey, Suspension] = {}
-        self.sound: dict[model.ReplicaKey, float] = {}
+        self.healthy: dict[model.ReplicaKey, float] = {}
         self.silent: dict[str, float] = {}
         self.spans: dict[tuple[str, str], int] = {}
         self.rows_fresh_from = 0.0
@@ -397,11 +397,11 @@
             del self.suspended[key]
         expired_keys = [
             key
-            for key, asked_at in self.sound.items()
-            if asked_at + SOUND_KEEP_S <= now
+            for key, asked_at in self.healthy.items()
+            if asked_at + HEALTHY_KEEP_S <= now
         ]
         for key in expired_keys:
-            del self.sound[key]
+            del self.healthy[key]
         self._expire_observations(now)
         return removed
 
@@ -415,9 +415,9 @@
             before, or if too many replicas are suspended to add it.
         """
         key = suspension.key
-        sound_at = self.sound.get(key, -math.inf)
+        healthy_at = self.healthy.get(key, -math.inf)
         if suspension.silent_at is not None and (
-            suspension.silent_at <= sound_at
+            suspension.silent_at <= healthy_at
         ):
             return False
         previous = self.suspended.get(key)
@@ -429,7 +429,7 @@
         self.suspended[key] = suspension
         return True
 
-    def record_sound(self, key: model.ReplicaKey, asked_at: float) -> bool:
+    def record_healthy(self, key: model.ReplicaKey, asked_at: float) -> bool:
         """Records that all members of a replica answered that they are well.
 
         Ends a suspension for an earlier silence.
@@ -442,8 +442,8 @@
         Returns:
             Whether a suspension ended.
         """
-        if key in self.sound or len(self.sound) < _MAX_SUSPENSIONS:
-            self.sound[key] = max(asked_at, self.sound.get(key, -math.inf))
+        if key in self.healthy or len(self.healthy) < _MAX_SUSPENSIONS:
+            self.healthy[key] = max(asked_at, self.healthy.get(key, -math.inf))
         suspension = self.suspended.get(key)
         if (
             suspension is None
--- a/tamarackpier/request/silence.py
+++ b/tamarackpier/request/silence.py
@@ -1,6 +1,6 @@
 """Decides what becomes of an attempt whose replica has fallen silent.
 
-A sound engine may stand still for a second or so and go on, so its silence is
+A healthy engine may stand still for a second or so and go on, so its silence is
 no reason to end an answer. An attempt ends only if its call can go on elsewhere
 now, or if it is known that waiting is of no use; otherwise it is held.
 """
--- a/tests/exchange_fixtures.py
+++ b/tests/exchange_fixtures.py
@@ -62,7 +62,7 @@
             ),
         )
         self.suspended = []
-        self.sound = []
+        self.healthy = []
         self.roster = roster_lib.Roster(presence(index))
         self.contacts = contacts
         self.keepers = []
@@ -77,7 +77,9 @@
                 receive_suspension=lambda *arguments: self.suspended.append(
                     arguments
                 ),
-                receive_sound=lambda *arguments: self.sound.append(arguments),
+                receive_healthy=lambda *arguments: self.healthy.append(
+                    arguments
+                ),
             ),
             lambda: self.version,
             lambda: 0,
--- a/tests/process_planned.py
+++ b/tests/process_planned.py
@@ -1,7 +1,7 @@
 """Planned work on real entry processes, with silences of engines.
 
 Nothing unplanned happens in this phase of a run: operators change the
-configuration, reload and stop instances, and sound engines stand still for
+configuration, reload and stop instances, and healthy engines stand still for
 about a second and go on. So each whole request must get a complete answer or a
 status, or its own time must be over. What ends otherwise is a violation.
 """
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -290,8 +290,8 @@
     silent=strategies.lists(TEXT, max_size=3),
     silent_ms=NUMBER,
 )
-SOUND = strategies.builds(
-    entry_pb2.Sound,
+HEALTHY = strategies.builds(
+    entry_pb2.Healthy,
     replica=TEXT | strategies.just("r1"),
     fence=strategies.integers(0, 2),
     age_ms=NUMBER,
@@ -314,7 +314,7 @@
     introduced=strategies.lists(PRESENCE, max_size=3),
     states=strategies.lists(STATE, max_size=3),
     suspended=strategies.lists(SUSPENDED, max_size=2),
-    sound=strategies.lists(SOUND, max_size=2),
+    healthy=strategies.lists(HEALTHY, max_size=2),
     observed=strategies.lists(OBSERVED, max_size=2),
     limits=strategies.lists(LIMIT, max_size=3),
     departures=strategies.lists(DEPARTURE, max_size=3),
--- a/tests/test_suspensions.py
+++ b/tests/test_suspensions.py
@@ -151,7 +151,7 @@
             instances.tell(2, 1)
         answered_at = instances.nodes[0].fleet.suspended[KEY].silent_at + 0.2
         for node in instances.nodes:
-            node.statuses.prober.receive_sound(KEY, answered_at, "test")
+            node.statuses.prober.receive_healthy(KEY, answered_at, "test")
         assert not instances.nodes[1].fleet.suspended
         assert not instances.nodes[2].fleet.suspended
 
@@ -188,7 +188,7 @@
         instances.now += 0.1
         await instances.probe(2)
         for node in instances.nodes:
-            node.statuses.prober.receive_sound(KEY, instances.now, "test")
+            node.statuses.prober.receive_healthy(KEY, instances.now, "test")
         instances.nodes[0].fleet.silent.clear()
         assert instances.serving() == [False, False, True]
 
@@ -248,10 +248,10 @@
 def test_what_is_kept_of_answers_is_bounded_and_expires():
     fleet = fleet_view.FleetView()
     for number in range(5000):
-        fleet.record_sound(model.ReplicaKey("r", number), 1.0)
-    assert len(fleet.sound) < 5000
-    fleet.expire(1.0 + fleet_view.SOUND_KEEP_S)
-    assert not fleet.sound
+        fleet.record_healthy(model.ReplicaKey("r", number), 1.0)
+    assert len(fleet.healthy) < 5000
+    fleet.expire(1.0 + fleet_view.HEALTHY_KEEP_S)
+    assert not fleet.healthy
 
 
 def test_a_silence_that_is_found_again_extends_a_suspension():
@@ -262,8 +262,8 @@
         )
     assert fleet.suspended[KEY].until == 4.0
     assert fleet.suspended[KEY].silent_at == 1.0
-    assert not fleet.record_sound(KEY, 1.0)
-    assert fleet.record_sound(KEY, 1.1)
+    assert not fleet.record_healthy(KEY, 1.0)
+    assert fleet.record_healthy(KEY, 1.1)
 
 
 async def _check_given_up(deployment):
