--- a/tamarackpier/daemon/zone_controller.py
+++ b/tamarackpier/daemon/zone_controller.py
@@ -25,7 +25,7 @@
 _KEPT_VERIFY_INTERVAL_S = 0.25
 # Silence after which a replica is given up although requests are bound to it.
 # The platform's engines may stand still for a second or so and go on.
-_MAX_KEPT_SILENCE_S = 2.0
+_MAX_KEPT_SILENCE_S = 1.3
 # Characters of the instance ID that names of replicas include.
 _MAX_ID_CHARACTERS = 40
 
