Count the silence of each member, not of the replica

The planner counted the time since the replica was first found silent, 2.4 s, and had its members leave; in the meantime the lead had gone on and sent data.

Now the longest present silence of a member counts, from when it was found until it answers.

--- a/tamarackpier/daemon/zone_controller.py
+++ b/tamarackpier/daemon/zone_controller.py
@@ -296,7 +296,14 @@
         ):
             return False
         now = self.clock()
-        silent_since = self._silent_since.setdefault(key, now)
+        kept_since = self._silent_since.setdefault(key, now)
+        silent_since = min(
+            (
+                self.fleet.silent.get(engine_id, now)
+                for engine_id in probe_result.silent
+            ),
+            default=kept_since,
+        )
         return now - silent_since < _MAX_KEPT_SILENCE_S
 
     async def _send_order(
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -90,6 +90,19 @@
     )
 
 
+def test_streams_outlast_silences_of_members_that_overlap():
+    async def silence(platform):
+        (lead,) = silence_fixtures.members(platform, rank=0)
+        (member,) = silence_fixtures.members(platform, rank=1)
+        platform.silence(lead, 1.0)
+        await asyncio.sleep(0.8)
+        platform.silence(member, silence_fixtures.SILENCE_S)
+        await asyncio.sleep(0.5)
+        platform.silence(lead, 0.9)
+
+    _check_streams_outlast(silence, is_resumable=False)
+
+
 def test_streams_end_at_once_when_a_member_has_ended():
     async def check(deployment):
         platform = deployment.platform
