--- a/review/harness.py
+++ b/review/harness.py
@@ -299,6 +299,11 @@
         for index, entry in enumerate(self.entries):
             entry.write_settings(store, contacts, zones[index % len(zones)])
 
+    def reset_store_connections(self) -> None:
+        """Resets all connections to the store, as when it goes down."""
+        for connection in list(self.platform.listeners[0].state.connections):
+            connection.transport.abort()  # type: ignore[union-attr]
+
     async def is_ready(self, entry: Entry) -> bool:
         """Returns whether an instance says that it is ready."""
         try:
