--- a/review/harness.py
+++ b/review/harness.py
@@ -18,7 +18,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 
 import aiohttp
 
@@ -284,9 +284,18 @@
         self.client: aiohttp.ClientSession
 
     def add_entries(
-        self, count: int, store: str, zones: tuple[str, ...] = ("zone-a",)
+        self,
+        count: int,
+        stores: str | Sequence[str],
+        zones: tuple[str, ...] = ("zone-a",),
     ) -> None:
-        """Adds entry instances, each with an address of its own."""
+        """Adds entry instances, each with an address of its own.
+
+        Args:
+            count: Number of instances.
+            stores: Address of the store, for all or for each instance.
+            zones: Availability zones, which instances take in turn.
+        """
         network = f"127.{random.randrange(1, 250)}.{random.randrange(250)}"
         port = random.randrange(1_000, 1_900) * 10
         for index in range(count):
@@ -297,6 +306,7 @@
             f"{entry.ip}:{port + 3}" for entry in self.entries[:3]
         )
         for index, entry in enumerate(self.entries):
+            store = stores if isinstance(stores, str) else stores[index]
             entry.write_settings(store, contacts, zones[index % len(zones)])
 
     def reset_store_connections(self) -> None:
