--- a/review/harness.py
+++ b/review/harness.py
@@ -448,10 +448,18 @@
     record.write(f"disruption: {'yes' if TROUBLE else 'no'}")
 
     async def run() -> int:
+        task = asyncio.current_task()
+        if task is not None:
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with deployment(record) as deployed, asyncio.timeout(110):
                 has_held = await case(deployed)
-        except (CouldNotRunError, TimeoutError, OSError) as error:
+        except asyncio.CancelledError:
+            record.write("could not run: ended by a signal")
+            return COULD_NOT_RUN
+        except Exception as error:
+            # A fault of the case itself must not look like a broken rule.
             record.write(f"could not run: {error!r}")
             return COULD_NOT_RUN
         record.write("the rule held" if has_held else "the rule was broken")
