--- a/review/harness.py
+++ b/review/harness.py
@@ -362,6 +362,7 @@
         parts: str = "",
         deadline_s: float = 8.0,
         method: str = "POST",
+        prompt_tokens: int = 100,
     ) -> Answer:
         """Sends a request on a new connection and returns its answer."""
         headers = {
@@ -370,7 +371,7 @@
             wire.Header.REQUEST_ID: request_id,
             wire.Header.DEADLINE_MS: str(int(deadline_s * 1e3)),
             wire.Header.MODEL: "large",
-            wire.Header.TOKEN_COUNT: f"100,{count}",
+            wire.Header.TOKEN_COUNT: f"{prompt_tokens},{count}",
             "Connection": "close",
         }
         if parts:
