A request that offers another protocol keeps its body

Cause: llhttp ends a message with an offer at its head, and nothing compared the body with the announced length. The head is now parsed again without the offer, as HTTP allows it to be ignored, and the body is read as usual; CONNECT is refused. A body of another length than announced is never passed on, on both faces (3013). A fragment in a target and header bytes that are not UTF-8 are refused (3013); UTF-8 header values are passed on unchanged.

--- a/tamarackpier/codes.py
+++ b/tamarackpier/codes.py
@@ -337,6 +337,13 @@
     _LATER,
     "The request's head did not arrive in time; the request has not run.",
 )
+REQUEST_UNREADABLE = _define(
+    3013,
+    "request_unreadable",
+    400,
+    _AFTER_CHANGE,
+    "The request isn't whole, or can't be passed on unchanged.",
+)
 ACCOUNT_OVER_SHARE = _define(
     3101,
     "account_over_share",
--- a/tamarackpier/daemon/caller_app.py
+++ b/tamarackpier/daemon/caller_app.py
@@ -84,6 +84,12 @@
                 )
                 await self._refuse(request, caller, fault)
                 return
+            try:
+                edge.check_forwardable(caller.scope, request.target)
+            except ValueError as error:
+                fault = codes.fault(codes.REQUEST_UNREADABLE, str(error))
+                await self._refuse(request, caller, fault)
+                return
             outcome = await self.relay.handle(request, caller)
         except http.FaultError as error:
             await self._refuse(request, caller, error.faults[0])
--- a/tamarackpier/daemon/http.py
+++ b/tamarackpier/daemon/http.py
@@ -15,6 +15,7 @@
 __all__ = [
     "DisconnectMiddleware",
     "FaultError",
+    "check_length",
     "fault_body",
     "fault_document",
     "read_body",
@@ -90,7 +91,8 @@
         timeout_s: Time in which the whole body must arrive, in seconds.
 
     Raises:
-        FaultError: The body is too large or does not arrive in time.
+        FaultError: The body is too large, does not arrive in time or has
+            another length than its head says.
     """
     length = request.content_length
     if length is not None and length > max_bytes:
@@ -102,6 +104,7 @@
             while True:
                 chunk = await request.stream.read(_CHUNK_BYTES)
                 if not chunk:
+                    check_length(size, length)
                     return b"".join(chunks)
                 size += len(chunk)
                 if size > max_bytes:
@@ -112,6 +115,21 @@
         raise FaultError(codes.fault(codes.BODY_TIMEOUT, detail)) from error
 
 
+def check_length(size: int, announced: int | None) -> None:
+    """Checks that a body is whole, as one that isn't must not be passed on.
+
+    Args:
+        size: Number of bytes that arrived.
+        announced: Number of bytes that the head announced; None if it didn't.
+
+    Raises:
+        FaultError: Another number of bytes arrived.
+    """
+    if announced is not None and size != announced:
+        detail = f"expected a body of {announced} bytes, got {size}"
+        raise FaultError(codes.fault(codes.REQUEST_UNREADABLE, detail))
+
+
 def fault_document(fault: codes.Fault, request_id: str = "") -> dict[str, Any]:
     """Returns the JSON form of a fault."""
     code = fault.code
--- a/tamarackpier/daemon/serving.py
+++ b/tamarackpier/daemon/serving.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import httptools
 import uvicorn
 from uvicorn import server as uvicorn_server
 from uvicorn.protocols.http import httptools_impl
@@ -33,6 +34,9 @@
 )
 # Key of the request target, as it was sent, in the state of the ASGI scope.
 TARGET_KEY = "target"
+# Headers that offer another protocol, and options of `Connection` that name
+# them.
+_OFFER_HEADERS = frozenset({b"upgrade", b"http2-settings"})
 # Time in which the event loop reads what has arrived at a socket.
 _READ_PASS_S = 0.001
 # Closes that may cross a request that is on its way.
@@ -132,6 +136,9 @@
         head_bytes: Bytes received so far of the head of the current request.
         max_head_bytes: Maximum size of a head, in bytes, on all listeners.
         is_in_body: Whether the head of the current request has ended.
+
+    Offers of another protocol are ignored. The parser would end a request with
+    an offer at its head, so such a head is parsed again without the offer.
     """
 
     head_bytes = 0
@@ -188,7 +195,7 @@
         self.connection.receive(self.loop.time())
         if not self.is_in_body:
             self.head_bytes += len(data)
-        super().data_received(data)
+        self._feed(data)
         is_reading_head = not self.is_in_body and self.head_bytes > 0
         if is_reading_head and self.head_bytes > self.max_head_bytes:
             self._note_close(caller_connection.Cause.HEAD_TOO_LARGE)
@@ -196,11 +203,48 @@
             self.transport.close()
         self.update_timer()
 
+    def _feed(self, data: bytes) -> None:
+        """Parses bytes that arrived."""
+        while data:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                rest = data[offer.args[0] :]
+            except httptools.HttpParserError:
+                self.send_400_response("Invalid HTTP request received.")
+                return
+            method = self.parser.get_method()
+            if method == b"CONNECT":
+                self.send_400_response("CONNECT is not supported.")
+                return
+            version = self.parser.get_http_version().encode()
+            data = self._head_without_offer(method, version) + rest
+            self.parser = httptools.HttpRequestParser(self)
+            self.parser.set_dangerous_leniencies(lenient_data_after_close=True)
+
+    def _head_without_offer(self, method: bytes, version: bytes) -> bytes:
+        """Returns the head that was parsed, without the offered protocol."""
+        lines = [method + b" " + self.url + b" HTTP/" + version]
+        for name, value in self.headers:
+            if name == b"connection":
+                options = [option.strip() for option in value.split(b",")]
+                value = b", ".join(
+                    option
+                    for option in options
+                    if option.lower() not in _OFFER_HEADERS
+                )
+            if name not in _OFFER_HEADERS:
+                lines.append(name + b": " + value)
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def on_message_begin(self) -> None:
         self.connection.begin_head(self.loop.time())
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
+        if self.parser.should_upgrade():
+            return
         self.is_in_body = True
         self._is_put_off = False
         self.connection.end_head(self.loop.time())
@@ -208,6 +252,8 @@
         super().on_headers_complete()
 
     def on_message_complete(self) -> None:
+        if self.parser.should_upgrade():
+            return
         self.is_in_body = False
         self.head_bytes = 0
         self.connection.end_body(self.loop.time())
@@ -407,11 +453,12 @@
         """Returns the whole body of the request.
 
         Raises:
-            http.FaultError: The body is larger than `max_bytes`, or did not
-                arrive within `timeout_s` seconds.
+            http.FaultError: The body is larger than `max_bytes`, did not arrive
+                within `timeout_s` seconds, or has another length than its head
+                says.
             asyncio.CancelledError: The caller disconnected.
         """
-        length_text = dict(self.scope["headers"]).get(b"content-length", b"0")
+        length_text = dict(self.scope["headers"]).get(b"content-length", b"")
         if length_text.isdigit() and int(length_text) > max_bytes:
             raise _too_large(max_bytes)
         chunks = []
@@ -434,6 +481,9 @@
                 f"request body did not arrive within {timeout_s} s",
             )
             raise http.FaultError(fault) from None
+        http.check_length(
+            size, int(length_text) if length_text.isdigit() else None
+        )
         self.body_read.set()
         return b"".join(chunks)
 
--- a/tamarackpier/platform/edge.py
+++ b/tamarackpier/platform/edge.py
@@ -13,6 +13,7 @@
     "RESOLVE_PATH",
     "address_answer",
     "answer_headers",
+    "check_forwardable",
     "decode_request",
     "fault_answer",
 ]
@@ -102,6 +103,27 @@
     )
 
 
+def check_forwardable(scope: Mapping[str, Any], target: bytes) -> None:
+    """Checks that a request reaches an engine as the caller sent it.
+
+    Args:
+        scope: The ASGI scope.
+        target: Path and query, undecoded, as the caller sent them.
+
+    Raises:
+        ValueError: The HTTP client would change the request.
+    """
+    if b"#" in target:
+        raise ValueError("the request target has a fragment")
+    for name, value in scope["headers"]:
+        try:
+            value.decode()
+        except UnicodeDecodeError as error:
+            raise ValueError(
+                f"header {name.decode('latin-1')} is not UTF-8"
+            ) from error
+
+
 def _header_text(headers: Mapping[bytes, bytes], name: str) -> str:
     return headers.get(name.encode(), b"").decode("latin-1")
 
--- a/tamarackpier/platform/engines.py
+++ b/tamarackpier/platform/engines.py
@@ -344,7 +344,7 @@
     forward: gateway.ForwardedRequest,
 ) -> list[tuple[str, str]]:
     headers = [
-        (name.decode("latin-1"), value.decode("latin-1"))
+        (name.decode("latin-1"), _decode_value(value))
         for name, value in forward.headers
     ]
     headers.append(("Host", forward.host))
@@ -360,6 +360,14 @@
     return headers
 
 
+def _decode_value(value: bytes) -> str:
+    """Returns a header's value as text; the HTTP client writes UTF-8."""
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
+
+
 def _headers_to_drop(response: aiohttp.ClientResponse) -> frozenset[bytes]:
     """Returns the names of headers that hold for one connection only."""
     connection_header = response.headers.get("Connection", "")
