What an instance believes of the store ends with the outage

Cause: a long poll sent before the store was away is never answered, and one sent to a store that is back is answered by the next change only, so that change began the grace of 2.5 s, which exceeds the time to drain.

- After a failure a follower asks without a wait, which proves the return.
- A poll that has waited for 3 s while a peer has had newer rows for 0.8 s is renewed; one instance of the fleet, the first by ID, waits for 2 s at most.
- Engines without a row are kept only after an outage, from the return on, and no longer than `drain_ms` of the platform, which the settings carry now.
A zone that changes hands keeps none.

--- a/tamarackpier/daemon/catch_up.py
+++ b/tamarackpier/daemon/catch_up.py
@@ -16,6 +16,11 @@
 # Time for the store to deliver a newer configuration before it is fetched from
 # a peer. The store usually delivers within 50 ms.
 _CONFIGURATION_FETCH_DELAY_S = 0.3
+# Time for which a peer must have had newer engine rows, and for which an own
+# call must have waited, until the call is taken for lost. Versions also rise
+# with other tables, so a peer that is ahead proves no change.
+_BEHIND_S = 0.8
+_LOST_CALL_S = 3.0
 # Time without the store after which the engine rows are fetched from peers.
 _ENGINES_FETCH_DELAY_S = 0.5
 
@@ -30,6 +35,9 @@
         engines: Cache of the engine rows; updated.
         follower: Follows the engine rows in the store.
         metrics: Counts fetches and their failures.
+        peers_ahead_since: Time since which a live peer has had newer engine
+            rows than this instance, in seconds on the monotonic clock; None if
+            none has.
     """
 
     def __init__(
@@ -47,6 +55,7 @@
         self.engines = engines
         self.follower = follower
         self.metrics = counts
+        self.peers_ahead_since: float | None = None
         self._behind_since: float | None = None
         self._fetches = loops.SingleFlight(counts)
 
@@ -56,6 +65,26 @@
             self._fetches.start("configuration", self._fetch_configuration)
         if self._is_store_unavailable(now):
             self._fetches.start("engines", self._fetch_engines)
+        self._update_peers_ahead(now)
+        if self._has_lost_call(now):
+            self.metrics.count("poll_renewed", "peers are ahead")
+            self.follower.renew(was_away=False)
+
+    def _update_peers_ahead(self, now: float) -> None:
+        if self.statuses.newer_engines_peer(self.engines.version) is None:
+            self.peers_ahead_since = None
+        elif self.peers_ahead_since is None:
+            self.peers_ahead_since = now
+
+    def _has_lost_call(self, now: float) -> bool:
+        """Returns whether the poll in flight is not going to be answered."""
+        polled_at = self.follower.polled_at
+        return (
+            self.peers_ahead_since is not None
+            and now - self.peers_ahead_since > _BEHIND_S
+            and polled_at is not None
+            and now - polled_at > _LOST_CALL_S
+        )
 
     def _is_behind(self, now: float) -> bool:
         """Returns whether a peer has had a newer configuration for too long."""
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -27,6 +27,7 @@
     row_cache,
     row_source,
     serving,
+    store_contact,
     store_watch,
     zone_controller,
 )
@@ -58,6 +59,13 @@
 _FOLLOWER_READ_INTERVAL_S = 0.4
 _PEER_READ_INTERVAL_S = 0.1  # Batches the rows that change meanwhile.
 _CONFIGURATION_READ_INTERVAL_S = 0.1
+# Longest wait of a poll of the instance that watches for silent outages.
+_KEEPER_POLL_S = 2.0
+# Time between a follower's decision to call the store and its call.
+_SAME_CALL_S = 0.02
+# Outage from which what the store answered before it is doubted. Engine rows
+# lapse after 3.6 s without a write.
+_MIN_AWAY_S = 1.0
 _INSTANCES_TABLE = "instance"
 _PEER_ADDRESS_FIELD = "peer_address"
 _MAX_LOGGED = 200  # Characters of an error about a row that are logged.
@@ -93,7 +101,7 @@
         self.rng = rng
         self.clock = clock
         self.metrics = metrics.Metrics()
-        self.fleet = fleet_view.FleetView()
+        self.fleet = fleet_view.FleetView(settings.bounds.drain_ms / _MS_PER_S)
         self.is_leaving = False
         self.zone_controllers: dict[str, zone_controller.ZoneController] = {}
         self._tasks: list[asyncio.Task[Any]] = []
@@ -122,6 +130,8 @@
         self._build_followers()
         self._build_listeners()
         self.rows.on_restored = self._on_store_restored
+        self.rows.on_answered = self._on_store_answered
+        self.rows.on_failed = self._on_store_failed
 
     def _build_request_path(self) -> None:
         bounds = self.settings.bounds
@@ -240,6 +250,7 @@
         self.carriage.record_wait = self.relay.record_wait
 
     def _build_followers(self) -> None:
+        self.store_contact = store_contact.StoreContact()
         self.engine_rows = row_cache.EngineRowCache(
             self.fleet, self._plan_zones, self.metrics, self.clock
         )
@@ -279,15 +290,15 @@
                 self.engine_rows.apply_snapshot,
                 self.engine_rows.apply_changes,
                 self._on_rows_lost,
-                lambda: self.fleet.mark_store_reachable(
-                    _ROWS_COMPONENT, self.clock()
-                ),
+                self._on_rows_returned,
                 self._engine_read_interval_s,
                 self.metrics,
                 self.rng,
                 self.clock,
             ),
         )
+        for follower in self.followers:
+            follower.max_wait_s = self._max_poll_s
         self.followers[0].is_covered = lambda: (
             self.configuration.version > 0
             and self.row_source.passes_configuration
@@ -512,6 +523,38 @@
         self.fleet.mark_store_unreachable(_ROWS_COMPONENT)
         self.engine_rows.notify_waiters()
 
+    def _on_rows_returned(self) -> None:
+        now = self.clock()
+        self.fleet.mark_store_reachable(
+            _ROWS_COMPONENT, now, self.catch_up.peers_ahead_since
+        )
+
+    def _on_store_failed(self, sent_at: float) -> None:
+        if self.store_contact.record_failure(sent_at):
+            self.metrics.count("store_away")
+
+    def _on_store_answered(self, sent_at: float) -> None:
+        contact = self.store_contact
+        if not contact.record_answer(sent_at, self.clock()):
+            return
+        logs.event("store answers again", away_s=round(contact.away_s, 3))
+        for follower in self.followers:
+            polled_at = follower.polled_at
+            # The call that was answered may be the follower's own.
+            if polled_at is not None and polled_at < sent_at - _SAME_CALL_S:
+                follower.renew(was_away=contact.away_s > _MIN_AWAY_S)
+
+    def _max_poll_s(self) -> float:
+        """Returns for how long a poll may wait for a change, in seconds.
+
+        One instance of the fleet keeps its polls short, so that an outage that
+        no other call meets is noticed by one and soon known to all.
+        """
+        own = self.roster.own_presence
+        live = self.roster.live(self.clock())
+        first = min([own.id, *(peer.id for peer in live if peer.is_ready)])
+        return _KEEPER_POLL_S if own.id == first else store_watch.MAX_WAIT_S
+
     def _on_links_changed(self) -> None:
         """Tells peers; what failed on lost links says nothing of engines."""
         if self.reach.is_cut:
--- a/tamarackpier/daemon/store_watch.py
+++ b/tamarackpier/daemon/store_watch.py
@@ -1,6 +1,14 @@
-"""Follows tables of the store that the operator and the engines write."""
+"""Follows tables of the store that the operator and the engines write.
+
+A long poll that was sent before the store was away may never be answered, and
+one sent to a store that is back is answered only when something changes. So a
+poll is renewed when something else shows that the store was away, or that a
+peer knows more; and after a failure the store is asked without a wait, which
+shows at once that it is back.
+"""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -10,9 +18,10 @@
 from tamarackpier import codes, logs, metrics
 from tamarackpier.platform import interfaces
 
-__all__ = ["TableFollower"]
+__all__ = ["MAX_WAIT_S", "TableFollower"]
 
-_MAX_WAIT_S = 20.0  # Longest wait for a change; the store allows 30 s.
+# Longest wait for a change; the store allows 30 s.
+MAX_WAIT_S = 20.0
 _COVERED_S = 0.2  # Time after which is_covered is asked again.
 _MIN_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 0.5  # Half of the time in which a change must be in force.
@@ -35,6 +44,9 @@
             clock; before the first one, the time of creation.
         is_covered: Returns whether the changes come by another way, so that
             the table need not be read.
+        max_wait_s: Returns the longest wait for a change, in seconds.
+        polled_at: Time at which the call in flight was sent; None if there is
+            none.
     """
 
     def __init__(
@@ -61,10 +73,26 @@
         self.rng = rng
         self.clock = clock
         self.is_covered: Callable[[], bool] = lambda: False
+        self.max_wait_s: Callable[[], float] = lambda: MAX_WAIT_S
+        self.polled_at: float | None = None
         self.is_lost = False
         self.read_at = clock()
         self._last_version: int | None = None
         self._backoff_s = _MIN_BACKOFF_S
+        self._renewed = asyncio.Event()
+        self._asks_at_once = False
+
+    def renew(self, was_away: bool) -> None:
+        """Gives up the call in flight and asks again without a wait.
+
+        Args:
+            was_away: Whether the store was away, so that what it answered
+                before is no longer known to hold.
+        """
+        if was_away:
+            self._set_lost("another call showed it")
+        self._asks_at_once = True
+        self._renewed.set()
 
     async def run(self) -> None:
         """Follows the table until it is cancelled."""
@@ -86,14 +114,11 @@
         if self._last_version is not None and self.is_covered():
             await asyncio.sleep(_COVERED_S)
             return
-        if self._last_version is None:
-            read_result = await self.watch.snapshot(self.table)
-            apply = self.on_snapshot
-        else:
-            read_result = await self.watch.changes(
-                self.table, self._last_version, _MAX_WAIT_S
-            )
-            apply = self.on_changes
+        is_snapshot = self._last_version is None
+        read_result = await self._read()
+        if read_result is None:
+            return
+        apply = self.on_snapshot if is_snapshot else self.on_changes
         if not pipeline.is_successful(read_result):
             await self._handle_failure(read_result)
             return
@@ -103,6 +128,32 @@
         self._last_version = changes.version
         await asyncio.sleep(self.read_interval_s())
 
+    async def _read(
+        self,
+    ) -> result.Result[interfaces.Changes, codes.Fault] | None:
+        """Reads a snapshot or the changes; returns None if it is renewed."""
+        self._renewed.clear()
+        wait_s = self.max_wait_s()
+        if self.is_lost or self._asks_at_once:
+            wait_s = 0.0
+        self._asks_at_once = False
+        if self._last_version is None:
+            read = self.watch.snapshot(self.table)
+        else:
+            read = self.watch.changes(self.table, self._last_version, wait_s)
+        self.polled_at = self.clock()
+        call = asyncio.ensure_future(read)
+        renewed = asyncio.ensure_future(self._renewed.wait())
+        try:
+            await asyncio.wait(
+                (call, renewed), return_when=asyncio.FIRST_COMPLETED
+            )
+            return await call if call.done() else None
+        finally:
+            self.polled_at = None
+            call.cancel()
+            renewed.cancel()
+
     async def _handle_failure(
         self, read_result: result.Result[interfaces.Changes, codes.Fault]
     ) -> None:
@@ -117,12 +168,19 @@
             )
             self._last_version = None
             return
+        self._set_lost(str(fault)[:200])
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(
+                self._renewed.wait(),
+                self._backoff_s * self.rng.uniform(0.5, 1.0),
+            )
+        self._backoff_s = min(_MAX_BACKOFF_S, self._backoff_s * 2)
+
+    def _set_lost(self, detail: str) -> None:
         if not self.is_lost:
             self.is_lost = True
-            logs.event("store lost", table=self.table, detail=str(fault)[:200])
+            logs.event("store lost", table=self.table, detail=detail)
             self.on_lost()
-        await asyncio.sleep(self._backoff_s * self.rng.uniform(0.5, 1.0))
-        self._backoff_s = min(_MAX_BACKOFF_S, self._backoff_s * 2)
 
     def _handle_success(self) -> None:
         now = self.clock()
--- a/tamarackpier/fleet/fleet_view.py
+++ b/tamarackpier/fleet/fleet_view.py
@@ -13,6 +13,9 @@
 # Time for which rows may be stale after the store is reachable again; by
 # requirement, they are back within 2 s.
 STORE_RETURN_GRACE_S = 2.5
+# Default of the time in which requests must stop reaching an engine whose row
+# is gone.
+_DRAIN_S = 2.0
 # Time for which an observation overrides a row; spans several probes.
 OBSERVATION_KEEP_S = 1.5
 # Maximum age of an observation for a decision about the engine.
@@ -100,8 +103,13 @@
         silent: Time since which each engine that does not answer probes has
             been silent, by ID, in seconds on the monotonic clock.
         spans: Number of members of a complete replica, by service and model.
+        drain_s: Seconds in which requests must stop reaching an engine whose
+            row is gone.
         rows_fresh_from: Time from which rows are reliable again, in seconds on
             the monotonic clock.
+        rows_back_by: Time by which the rows are back that lapsed while the
+            store was away, in seconds on the monotonic clock; until then an
+            engine without a row is kept.
         store_unreachable_for: Names of the components that cannot reach the
             store; while there is one, rows may be stale.
         observations: Observations by engine ID, made while rows may be stale.
@@ -114,7 +122,9 @@
         departures: Engines that said that they leave, whatever their rows say.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, drain_s: float = _DRAIN_S) -> None:
+        self.drain_s = drain_s
+        self.rows_back_by = -math.inf
         self.engines: dict[str, model.EngineRecord] = {}
         self.pending_removals: dict[str, float] = {}
         self.suspended: dict[model.ReplicaKey, Suspension] = {}
@@ -150,21 +160,43 @@
         """Records that a component cannot reach the store."""
         self.store_unreachable_for.add(component)
 
-    def mark_store_reachable(self, component: str, now: float) -> None:
+    def mark_store_reachable(
+        self, component: str, now: float, returned_at: float | None = None
+    ) -> None:
         """Records that a component can reach the store again.
 
         Rows may be stale for another `STORE_RETURN_GRACE_S`.
+
+        Args:
+            component: Name of the component.
+            now: Current time.
+            returned_at: Time since which the store is known to answer; None
+                for the current time.
         """
         if component in self.store_unreachable_for:
             self.store_unreachable_for.remove(component)
-            self.rows_fresh_from = now + STORE_RETURN_GRACE_S
+            since = now if returned_at is None else min(now, returned_at)
+            self.rows_fresh_from = max(
+                self.rows_fresh_from, since + STORE_RETURN_GRACE_S
+            )
+            self._keep_engines_without_row(since)
 
     def mark_rows_stale(self, now: float) -> None:
-        """Records that rows may be stale after an unnoticed store outage."""
+        """Records that rows may show an earlier state of the engines.
+
+        A row that is gone is that of an engine that is gone all the same.
+        """
         self.rows_fresh_from = max(
             self.rows_fresh_from, now + STORE_RETURN_GRACE_S
         )
 
+    def _keep_engines_without_row(self, since: float) -> None:
+        """Keeps engines whose row lapsed while the store was away."""
+        self.rows_back_by = max(
+            self.rows_back_by,
+            since + min(self.drain_s, STORE_RETURN_GRACE_S),
+        )
+
     def mark_rows_restored(self, now: float) -> None:
         """Records that the store was restored, so that rows may be older.
 
@@ -172,6 +204,7 @@
         engines write them again.
         """
         self.mark_rows_stale(now)
+        self._keep_engines_without_row(now)
         self.restored_until = self.rows_fresh_from
         for engine_id, engine in self.engines.items():
             observation = self.observations.setdefault(
@@ -339,14 +372,14 @@
     def remove(self, engine_id: str, now: float) -> None:
         """Records that an engine's row is gone.
 
-        The engine is removed at once, or when rows are reliable again if that
-        time is known and still to come.
+        The engine is removed at once, or by when rows are back that lapsed
+        while the store was away.
         """
         self.doubtful_rows.pop(engine_id, None)
         if engine_id not in self.engines:
             return
-        if now < self.rows_fresh_from:
-            self.pending_removals.setdefault(engine_id, self.rows_fresh_from)
+        if now < self.rows_back_by:
+            self.pending_removals.setdefault(engine_id, self.rows_back_by)
             return
         self._remove_engine(engine_id)
 
--- a/tamarackpier/hosted_settings.py
+++ b/tamarackpier/hosted_settings.py
@@ -85,6 +85,10 @@
             in seconds.
         stop_grace_s: Time from SIGTERM to the end of the process, in seconds.
         address_keep_s: Time that callers may cache an address, in seconds.
+        drain_ms: Time after which no request may reach an engine that is gone,
+            in milliseconds.
+        config_apply_ms: Time in which a configuration must be in force, in
+            milliseconds.
     """
 
     retry_ratio: float = ini.key(default=0.2, low=0, high=10)
@@ -92,6 +96,8 @@
     retry_window_s: float = ini.key(default=10.0, low=0.1, high=3600)
     stop_grace_s: float = ini.key(default=8.0, low=0.1, high=3600)
     address_keep_s: float = ini.key(default=2.0, low=0.1, high=3600)
+    drain_ms: float = ini.key(default=2000.0, low=100, high=3.6e6)
+    config_apply_ms: float = ini.key(default=2000.0, low=100, high=3.6e6)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tamarackpier/platform/store.py
+++ b/tamarackpier/platform/store.py
@@ -4,6 +4,7 @@
 import base64
 import dataclasses
 import json
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -19,6 +20,8 @@
 _CONFLICT = 412
 _GONE = 410
 _TOO_MANY = 429
+# Statuses by which the store shows that it works.
+_SERVED_STATUSES = frozenset((_OK, _CONFLICT, _GONE))
 _PAGE_ROWS = 500  # Maximum number of rows in one response.
 # Time beyond the requested wait after which a long poll has timed out.
 _FEED_TIMEOUT_MARGIN_S = 1.5
@@ -64,6 +67,9 @@
         calls: Number of calls made so far; the platform charges for each.
         era: Latest era seen; None before the first response.
         on_restored: Called when the store has been restored.
+        on_answered: Called with the send time of each call that the store
+            answered, in seconds on the monotonic clock.
+        on_failed: The same for each call that it did not serve.
     """
 
     def __init__(
@@ -75,6 +81,8 @@
         self.calls = 0
         self.era: int | None = None
         self.on_restored: Callable[[], None] = lambda: None
+        self.on_answered: Callable[[float], None] = lambda sent_at: None
+        self.on_failed: Callable[[float], None] = lambda sent_at: None
         self._restored = asyncio.Event()
 
     def observe_era(self, era: int) -> None:
@@ -290,6 +298,27 @@
         timeout_s: float,
         query: dict[str, str] | None = None,
         body: bytes | None = None,
+    ) -> _Response:
+        sent_at = time.monotonic()
+        try:
+            response = await self._send(method, path, timeout_s, query, body)
+        except (TimeoutError, aiohttp.ClientError):
+            self.on_failed(sent_at)
+            raise
+        self.observe_era(response.era)
+        if response.status in _SERVED_STATUSES:
+            self.on_answered(sent_at)
+        elif response.status != _TOO_MANY:
+            self.on_failed(sent_at)
+        return response
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        query: dict[str, str] | None,
+        body: bytes | None,
     ) -> _Response:
         headers = {"Content-Type": "application/json"} if body else None
         async with self.session.request(
@@ -307,7 +336,6 @@
                 )
             except ValueError as error:
                 raise aiohttp.ClientError(str(error)) from error
-            self.observe_era(era)
             return _Response(response.status, data, era)
 
 
--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -38,6 +38,9 @@
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 
+_NEVER_S = 3600.0  # Outlasts every run.
+
+
 async def _read_body(receive: Receive) -> bytes:
     parts = []
     while True:
@@ -108,6 +111,8 @@
         era: Number of times that the store was restored from a copy.
         refuses: Whether every call is answered with status 503.
         drops_answers: Whether changes are applied but not answered.
+        is_silent: Whether no call is answered; calls that come meanwhile, or
+            wait for a change then, are never answered.
     """
 
     def __init__(self) -> None:
@@ -119,8 +124,15 @@
         self.era = 0
         self.refuses = False
         self.drops_answers = False
+        self.is_silent = False
+        self._silences = 0
         self._changed = asyncio.Event()
 
+    def set_silent(self, is_silent: bool) -> None:
+        """Begins or ends a silence."""
+        self.is_silent = is_silent
+        self._silences += is_silent
+
     def put(self, table: str, key: str, data: bytes | None) -> None:
         """Writes a row, or removes it if the data is None."""
         if data is None and (table, key) not in self.rows:
@@ -160,6 +172,9 @@
     ) -> None:
         """Answers one call."""
         body = await _read_body(receive)
+        silences = self._silences
+        if self.is_silent:
+            await asyncio.sleep(_NEVER_S)
         if self.refuses:
             await self._answer(send, 503)
             return
@@ -167,11 +182,13 @@
         if scope["path"] == wire.Path.ROWS_CHANGE:
             status, document = self._apply_change(json.loads(body))
             if self.drops_answers:
-                await asyncio.sleep(3600)
+                await asyncio.sleep(_NEVER_S)
         elif scope["path"] == wire.Path.ROWS_GET:
             status, document = 200, self._read(query)
         else:
             status, document = await self._read_changes(query)
+        if self.is_silent or silences != self._silences:
+            await asyncio.sleep(_NEVER_S)
         await self._answer(send, status, json.dumps(document).encode())
 
     async def _answer(self, send: Send, status: int, body: bytes = b"") -> None:
@@ -214,7 +231,7 @@
         era = self.era
         while True:
             if self.era != era:
-                await asyncio.sleep(3600)
+                await asyncio.sleep(_NEVER_S)
             oldest = self.history[0][0] if self.history else self.version + 1
             is_lost = after < self.version and after + 1 < oldest
             if is_lost or after > self.version:
@@ -252,7 +269,7 @@
                 self.name, time.monotonic()
             )
         if not self.platform.fabric.is_reachable(self.name):
-            await asyncio.sleep(3600)
+            await asyncio.sleep(_NEVER_S)
         await self.platform.wait_while_silent(self.name)
         headers = {
             name.decode(): value.decode() for name, value in scope["headers"]
@@ -291,7 +308,7 @@
                 *_ORDER_DELAY_RANGE_S
             )
             platform.fabric.delayed_orders.append((due_at, order))
-            await asyncio.sleep(3600)
+            await asyncio.sleep(_NEVER_S)
         try:
             outcome = platform.fabric.order(order)
         except fabric_lib.FabricInvariantError as error:
@@ -353,7 +370,7 @@
                 self.platform.crashes_silently
                 and not self.platform.sends_error_pages
             ):
-                await asyncio.sleep(3600)
+                await asyncio.sleep(_NEVER_S)
             return
         if not serves_models:
             await asyncio.sleep(
--- /dev/null
+++ b/tests/test_store_outages.py
@@ -0,0 +1,383 @@
+"""Tests that no belief about the store outlives an outage of it."""
+
+import asyncio
+import random
+import types
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from tamarackpier import codes, failures, metrics
+from tamarackpier.daemon import catch_up, store_contact, store_watch
+from tamarackpier.fleet import fleet_view
+from tamarackpier.platform import interfaces, store, wire
+from tamarackpier.standin import virtual
+from tests import deployment_fixtures, hosted_fixtures
+
+# Bounds of the platform, in seconds.
+STABLE_WINDOW_S = 3.0
+CONFIG_APPLY_S = 2.0
+DRAIN_S = 2.0
+
+
+async def _settle(deployment):
+    await deployment.until(
+        lambda: all(
+            instance.configuration.version == 1
+            and len(instance.fleet.engines) == 4
+            for instance in deployment.instances
+        )
+    )
+    # All polls are sent and wait.
+    await asyncio.sleep(1.0)
+
+
+def _whole(check):
+    async def run_check(deployment):
+        await _settle(deployment)
+        await check(deployment, deployment.platform.store)
+
+    deployment_fixtures.run(
+        run_check, count=3, engine_count=0, order_engine_count=4
+    )
+
+
+async def _check_removed_in_time(deployment, row_store):
+    row_store.put(wire.Field.ENGINES_TABLE, "o1", None)
+    await deployment.until(
+        lambda: (
+            not any(
+                "o1" in instance.fleet.engines
+                for instance in deployment.instances
+            )
+        ),
+        DRAIN_S,
+    )
+
+
+def test_a_configuration_after_a_silent_store_is_in_force_in_time():
+    async def check(deployment, row_store):
+        row_store.set_silent(True)
+        await asyncio.sleep(5.0)
+        row_store.set_silent(False)
+        await asyncio.sleep(STABLE_WINDOW_S)
+        deployment.platform.configure(deployment_fixtures.configuration(2))
+        await deployment.until(
+            lambda: all(
+                instance.configuration.version == 2
+                for instance in deployment.instances
+            ),
+            CONFIG_APPLY_S,
+        )
+
+    _whole(check)
+
+
+def test_an_engine_that_leaves_after_a_silent_store_is_left_in_time():
+    async def check(deployment, row_store):
+        row_store.set_silent(True)
+        await asyncio.sleep(5.0)
+        row_store.set_silent(False)
+        await asyncio.sleep(STABLE_WINDOW_S)
+        await _check_removed_in_time(deployment, row_store)
+
+    _whole(check)
+
+
+def test_an_engine_that_leaves_after_a_refusing_store_is_left_in_time():
+    async def check(deployment, row_store):
+        # A last change ends the polls that wait, and the next ones fail.
+        row = row_store.rows[wire.Field.ENGINES_TABLE, "o0"][0]
+        row_store.put(wire.Field.ENGINES_TABLE, "o0", row)
+        row_store.refuses = True
+        await asyncio.sleep(3.5)
+        row_store.refuses = False
+        await asyncio.sleep(2.0 * STABLE_WINDOW_S)
+        await _check_removed_in_time(deployment, row_store)
+
+    _whole(check)
+
+
+def test_a_row_that_vanishes_while_a_zone_changes_hands_counts_at_once():
+    view = fleet_view.FleetView()
+    view.put(hosted_fixtures.record("e0"))
+    view.mark_rows_stale(0.0)
+    view.remove("e0", 0.1)
+    assert "e0" not in view.engines
+
+
+def test_a_row_that_lapsed_during_an_outage_is_kept_no_longer_than_allowed():
+    for drain_s in (0.5, 2.0, 30.0):
+        view = fleet_view.FleetView(drain_s)
+        view.put(hosted_fixtures.record("e0"))
+        view.mark_store_unreachable("rows")
+        view.mark_store_reachable("rows", 10.0)
+        view.remove("e0", 10.1)
+        kept_s = min(drain_s, fleet_view.STORE_RETURN_GRACE_S)
+        assert not view.expire(10.0 + kept_s - 0.01)
+        assert view.expire(10.0 + kept_s) == ["e0"]
+
+
+def test_time_since_peers_know_of_the_return_counts():
+    view = fleet_view.FleetView(2.0)
+    view.put(hosted_fixtures.record("e0"))
+    view.mark_store_unreachable("rows")
+    view.mark_store_reachable("rows", 10.0, returned_at=9.0)
+    view.remove("e0", 10.1)
+    assert view.expire(11.0) == ["e0"]
+
+
+def test_late_answers_do_not_show_a_return():
+    contact = store_contact.StoreContact()
+    assert contact.record_failure(5.0)
+    assert not contact.record_answer(4.0, 6.0)
+    assert contact.away_since == 5.0
+    assert contact.record_answer(5.5, 6.5)
+    assert contact.away_since is None
+    assert (contact.returned_at, contact.away_s) == (6.5, 1.5)
+
+
+def test_a_call_lost_before_another_was_answered_shows_no_outage():
+    contact = store_contact.StoreContact()
+    contact.record_answer(5.0, 5.1)
+    assert not contact.record_failure(4.0)
+    assert contact.away_since is None
+
+
+class _FakeStore(interfaces.Watch):
+    """A store with one table whose rows are a single counter.
+
+    Attributes:
+        mode: "well", "silent" or "refuses".
+        version: Version of the last change.
+    """
+
+    def __init__(self):
+        self.mode = "well"
+        self.version = 1
+        self.silences = 0
+        self.calls = 0
+        self.changed = asyncio.Event()
+
+    def change(self):
+        self.version += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def snapshot(self, table):
+        return await self._serve(0, 0.0, 1.0)
+
+    async def changes(self, table, after, wait_s):
+        return await self._serve(after, wait_s, wait_s + 1.5)
+
+    async def call(self, timeout_s):
+        """Makes any other call."""
+        return await self._serve(0, 0.0, timeout_s)
+
+    async def _serve(self, after, wait_s, timeout_s):
+        self.calls += 1
+        if self.mode == "refuses":
+            return failures.failure(codes.TABLE_UNAVAILABLE, "HTTP 503")
+        silences = self.silences
+        began_at = asyncio.get_running_loop().time()
+        ends_at = began_at + wait_s
+        while self.mode == "well" and silences == self.silences:
+            now = asyncio.get_running_loop().time()
+            if self.version > after or now >= ends_at - 1e-6:
+                changes = interfaces.Changes((), self.version)
+                return store.result.Success(changes)
+            try:
+                await asyncio.wait_for(
+                    self.changed.wait(), max(0.001, ends_at - now)
+                )
+            except TimeoutError:
+                continue
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(max(0.0, began_at + timeout_s - now))
+        return failures.failure(codes.TABLE_UNAVAILABLE, "timed out")
+
+
+class _Reader:
+    """An instance: a follower, the contact and other calls of it."""
+
+    def __init__(self, fake, poll_s, makes_calls):
+        self.fake = fake
+        self.version = 0
+        self.contact = store_contact.StoreContact()
+        self.makes_calls = makes_calls
+        self.follower = store_watch.TableFollower(
+            "servers",
+            self,
+            self._apply,
+            self._apply,
+            lambda: None,
+            lambda: None,
+            lambda: 0.05,
+            metrics.Metrics(),
+            random.Random(1),
+            asyncio.get_running_loop().time,
+        )
+        self.follower.max_wait_s = lambda: poll_s
+
+    def _apply(self, changes):
+        self.version = changes.version
+
+    async def snapshot(self, table):
+        return await self._record(self.fake.snapshot(table))
+
+    async def changes(self, table, after, wait_s):
+        return await self._record(self.fake.changes(table, after, wait_s))
+
+    async def _record(self, call):
+        now = asyncio.get_running_loop().time
+        sent_at = now()
+        outcome = await call
+        if store.pipeline.is_successful(outcome):
+            if self.contact.record_answer(sent_at, now()):
+                polled_at = self.follower.polled_at
+                if polled_at is not None and polled_at < sent_at:
+                    self.follower.renew(was_away=True)
+        else:
+            self.contact.record_failure(sent_at)
+        return outcome
+
+    async def call_now_and_then(self):
+        """Makes calls such as those for a lease."""
+        while self.makes_calls:
+            await self._record(self.fake.call(1.0))
+            await asyncio.sleep(1.0)
+
+
+class _Peers:
+    """What an instance hears of its peer.
+
+    Attributes:
+        reader: The instance.
+        peer: The peer.
+        version: Version of the rows that the instance has.
+        configuration: Has the version and routing of its configuration.
+    """
+
+    def __init__(self, reader, peer):
+        self.reader = reader
+        self.peer = peer
+        self.configuration = types.SimpleNamespace(version=1, routing=True)
+
+    @property
+    def version(self):
+        return self.reader.version
+
+    def newer_configuration_peer(self, version):
+        return None
+
+    def newer_engines_peer(self, version):
+        return "peer" if self.peer.version > version else None
+
+    async def fetch_engines(self, peer_id, version):
+        return failures.failure(codes.PEER_UNAVAILABLE, "not in this test")
+
+    async def tick(self):
+        """Compares versions as the instance does in each peer round."""
+        catcher = catch_up.CatchUp(
+            self,
+            self,
+            self.configuration,
+            self,
+            self.reader.follower,
+            metrics.Metrics(),
+        )
+        while True:
+            catcher.tick(asyncio.get_running_loop().time())
+            await asyncio.sleep(0.25)
+
+
+class _Outages(stateful.RuleBasedStateMachine):
+    """Any order of outages and changes, with and without other calls.
+
+    Promise: once the store has answered for the stable window, all instances
+    know each change of it within the time that the configuration has. One has
+    short polls, see `HostedInstance`.
+    """
+
+    @stateful.initialize(has_calls=strategies.booleans())
+    def start(self, has_calls):
+        self.loop = virtual.VirtualLoop()
+
+        async def create():
+            self.fake = _FakeStore()
+            keeper = _Reader(self.fake, 2.0, False)
+            other = _Reader(self.fake, store_watch.MAX_WAIT_S, has_calls)
+            self.readers = (keeper, other)
+            self.tasks = [
+                asyncio.ensure_future(keeper.follower.run()),
+                asyncio.ensure_future(other.follower.run()),
+                asyncio.ensure_future(other.call_now_and_then()),
+                asyncio.ensure_future(_Peers(other, keeper).tick()),
+            ]
+
+        self.loop.run_until_complete(create())
+        self.pass_time(0.5)
+
+    def pass_time(self, seconds):
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+
+    @stateful.rule(seconds=strategies.floats(0.01, 12.0))
+    def wait(self, seconds):
+        self.pass_time(seconds)
+
+    @stateful.rule(
+        mode=strategies.sampled_from(["silent", "refuses"]),
+        seconds=strategies.floats(0.05, 12.0),
+        changes=strategies.integers(0, 2),
+    )
+    def outage(self, mode, seconds, changes):
+        self.fake.mode = mode
+        self.fake.silences += mode == "silent"
+        self.pass_time(seconds)
+        for _ in range(changes):
+            self.fake.change()
+        self.fake.mode = "well"
+
+    @stateful.rule()
+    def change(self):
+        self.fake.change()
+
+    @stateful.rule()
+    def stable(self):
+        self.pass_time(STABLE_WINDOW_S)
+        self.fake.change()
+        version = self.fake.version
+        self.pass_time(CONFIG_APPLY_S)
+        for reader in self.readers:
+            assert reader.version >= version
+
+    @stateful.rule()
+    def few_calls(self):
+        calls = self.fake.calls
+        self.pass_time(20.0)
+        assert self.fake.calls - calls <= 60
+
+    def teardown(self):
+        if hasattr(self, "loop"):
+
+            async def end():
+                tasks = asyncio.all_tasks() - {asyncio.current_task()}
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+
+            self.loop.run_until_complete(end())
+            self.loop.close()
+
+
+def test_no_belief_outlives_an_outage_in_any_order_of_events():
+    stateful.run_state_machine_as_test(
+        _Outages,
+        settings=hypothesis.settings(
+            max_examples=300,
+            stateful_step_count=15,
+            deadline=None,
+            derandomize=True,
+            database=None,
+        ),
+    )
