Suspensions of one message are applied together before streams move

Cause: a message with two suspensions was applied one after the other; the first moved streams to the replica that the second suspended. Replicas without streams were then given up, for 3 s, though they were only silent.

- A message is applied whole, with its crashes, limits and departures; its suspensions come last and together, and only then do streams move.
- A stream moves only to a replica that no probe round is in flight for and whose streams are not overdue, and that has room while its own may still go on.
- A replica that is only silent isn't given up for having no stream, unless a substitute would stand sooner.
- Members that a peer found well are asked at once, not 0.7 s later.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -168,6 +168,7 @@
         )
         self.relay.quarantine.may_try = self._may_try
         self.relay.on_attempt_failed = self.prober.probe_after_failure
+        self.relay.is_doubted = self.prober.is_doubted
 
     def _build_peer_exchange(self, incarnation: int) -> None:
         instance = self.settings.instance
--- a/tamarackpier/daemon/peer_status.py
+++ b/tamarackpier/daemon/peer_status.py
@@ -197,7 +197,11 @@
         return status
 
     def receive(self, status: entry_pb2.EntryStatus) -> None:
-        """Processes the status message of a peer."""
+        """Processes the status message of a peer.
+
+        Suspensions come last and together: they move streams, which must go by
+        all that the message says.
+        """
         now = self.clock()
         presences = [
             _presence_from_wire(presence)
@@ -215,8 +219,6 @@
             self._receive_state(state, state.instance == sender_hash, now)
         for healthy in status.healthy:
             self._receive_healthy(healthy, status.sender.id, now)
-        for suspended in status.suspended:
-            self._receive_suspension(suspended, status.sender.id, now)
         if self.fleet.may_be_stale(now):
             for observed in status.observed:
                 self._receive_observation(observed, now)
@@ -233,6 +235,13 @@
             logs.decision(
                 "crashes unreadable", peer=status.sender.id, detail=str(error)
             )
+        suspensions = [
+            self._suspension(suspended, now)
+            for suspended in status.suspended
+            if model.ReplicaKey(suspended.replica, suspended.fence)
+            in self.fleet.replicas()
+        ]
+        self.prober.receive_suspensions(suspensions, status.sender.id)
 
     def expire(self) -> None:
         """Drops the records of peers that are no longer known."""
@@ -511,15 +520,12 @@
             if not engine.domain
         }
 
-    def _receive_suspension(
-        self, suspended: entry_pb2.Suspended, sender: str, now: float
-    ) -> None:
-        key = model.ReplicaKey(suspended.replica, suspended.fence)
-        if key not in self.fleet.replicas():
-            return
+    def _suspension(
+        self, suspended: entry_pb2.Suspended, now: float
+    ) -> fleet_view.Suspension:
         remaining_s = min(_MAX_RECEIVED_SUSPENSION_S, suspended.left_ms / 1e3)
-        suspension = fleet_view.Suspension(
-            key,
+        return fleet_view.Suspension(
+            model.ReplicaKey(suspended.replica, suspended.fence),
             now + remaining_s,
             tuple(suspended.silent),
             suspended.reason,
@@ -527,7 +533,6 @@
             if suspended.silent_ms
             else None,
         )
-        self.prober.receive_suspension(suspension, sender)
 
     def _receive_healthy(
         self, healthy: entry_pb2.Healthy, sender: str, now: float
--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -7,7 +7,7 @@
 import asyncio
 import dataclasses
 import math
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 from absl import logging
 from returns import pipeline, result
@@ -262,19 +262,46 @@
         Returns:
             Whether the suspension is new.
         """
-        if not self.fleet.suspend(suspension):
-            return False
-        moved_count = self.streams.interrupt(suspension.key, suspension.reason)
-        self.metrics.count("suspended", source)
-        logs.event(
-            "replica suspended",
-            replica=suspension.key.replica,
-            fence=suspension.key.fence,
-            reason=suspension.reason,
-            source=source,
-            streams_moved=moved_count,
+        return self.suspend_all([suspension], source) > 0
+
+    def suspend_all(
+        self, suspensions: Iterable[fleet_view.Suspension], source: str
+    ) -> int:
+        """Applies suspensions together, and then moves the streams.
+
+        Args:
+            suspensions: The suspensions; a stream moves to none of their
+                replicas.
+            source: Origin of the suspensions, for metrics and the log.
+
+        Returns:
+            The number of new suspensions.
+        """
+        new = [
+            suspension
+            for suspension in suspensions
+            if self.fleet.suspend(suspension)
+        ]
+        for suspension in new:
+            moved_count = self.streams.interrupt(
+                suspension.key, suspension.reason
+            )
+            self.metrics.count("suspended", source)
+            logs.event(
+                "replica suspended",
+                replica=suspension.key.replica,
+                fence=suspension.key.fence,
+                reason=suspension.reason,
+                source=source,
+                streams_moved=moved_count,
+            )
+        return len(new)
+
+    def is_doubted(self, key: model.ReplicaKey) -> bool:
+        """Returns whether it is being found out if a replica still serves."""
+        return key in self.running_probes or self.streams.is_overdue(
+            key, self.clock()
         )
-        return True
 
     def make_lasting(self, key: model.ReplicaKey) -> None:
         """Suspends a replica that is given up, even if it answers again."""
@@ -321,41 +348,62 @@
     ) -> None:
         """Applies that a replica's members answered a peer after a silence.
 
-        Members that are silent to this instance remain so.
+        Members that are silent to this instance remain so until they have
+        answered it; they are asked at once.
         """
         known_at = self.fleet.healthy.get(key)
         if known_at is not None and asked_at < known_at + _COPY_TOLERANCE_S:
             asked_at = min(asked_at, known_at)
-        self.end_suspension(key, asked_at, f"peer {peer_id}")
+        if self.end_suspension(key, asked_at, f"peer {peer_id}"):
+            for _, member in self.fleet.replicas()[key].members:
+                if member.id in self.fleet.silent:
+                    self._rechecked_at[member.id] = -math.inf
 
-    def receive_suspension(
-        self, suspension: fleet_view.Suspension, peer_id: str
+    def receive_suspensions(
+        self, suspensions: Iterable[fleet_view.Suspension], peer_id: str
     ) -> None:
-        """Applies a peer's suspension, unless own streams contradict it.
+        """Applies a peer's suspensions, unless own streams contradict them.
 
-        A peer that has lost its links takes all engines for silent. If the
-        replica sends data here, it is probed instead.
+        A peer that has lost its links takes all engines for silent. A replica
+        that sends data here is probed instead.
         """
+        self.suspend_all(
+            [
+                self._with_known_silence(suspension)
+                for suspension in suspensions
+                if not self._contradicts(suspension)
+            ],
+            f"peer {peer_id}",
+        )
+
+    def _contradicts(self, suspension: fleet_view.Suspension) -> bool:
+        """Returns whether own streams contradict a peer's suspension."""
         key = suspension.key
         data_age_s = self.clock() - self.streams.last_data_at.get(
             key, float("-inf")
         )
-        if suspension.silent and data_age_s < _RECENT_DATA_S:
-            self.metrics.count("suspension_doubted")
-            self.probe_after_failure(key)
-            return
-        known = self.fleet.suspended.get(key)
+        if not suspension.silent or data_age_s >= _RECENT_DATA_S:
+            return False
+        self.metrics.count("suspension_doubted")
+        self.probe_after_failure(key)
+        return True
+
+    def _with_known_silence(
+        self, suspension: fleet_view.Suspension
+    ) -> fleet_view.Suspension:
+        """Returns a copy of a suspension with the time that is known.
+
+        Each copy seems later by the time that the message took.
+        """
+        known = self.fleet.suspended.get(suspension.key)
         if (
             known is not None
             and known.silent_at is not None
             and suspension.silent_at is not None
             and suspension.silent_at < known.silent_at + _COPY_TOLERANCE_S
         ):
-            # Each copy seems later by the time that the message took.
-            suspension = dataclasses.replace(
-                suspension, silent_at=known.silent_at
-            )
-        self.suspend(suspension, f"peer {peer_id}")
+            return dataclasses.replace(suspension, silent_at=known.silent_at)
+        return suspension
 
     async def _probe_replica(
         self, key: model.ReplicaKey, reason: str
--- a/tamarackpier/daemon/zone_controller.py
+++ b/tamarackpier/daemon/zone_controller.py
@@ -14,7 +14,7 @@
 from tamarackpier.peer import zone_claims
 from tamarackpier.platform import interfaces
 from tamarackpier.routing import table
-from tamarackpier.traffic import load
+from tamarackpier.traffic import load, stream_attempts
 from tamarackpier.upstream import gateway
 
 __all__ = ["ZoneController"]
@@ -23,9 +23,6 @@
 _VERIFY_INTERVAL_S = 1.0  # Time between probe rounds for one suspension.
 # The same for a silent replica that is kept for requests that are bound to it.
 _KEPT_VERIFY_INTERVAL_S = 0.25
-# Silence after which a replica is given up although requests are bound to it.
-# The platform's engines may stand still for a second or so and go on.
-_MAX_KEPT_SILENCE_S = 1.3
 # Characters of the instance ID that names of replicas include.
 _MAX_ID_CHARACTERS = 40
 
@@ -282,14 +279,14 @@
         key: model.ReplicaKey,
         probe_result: probing.ProbeResult,
     ) -> bool:
-        """Returns whether a silent replica is kept for its requests.
+        """Returns whether a silent replica is kept, as it may go on.
 
-        It is if some can't be sent to another replica, or if no other would
-        stand in time for them.
+        It is if it has requests that can't be sent to another replica, or if
+        no other would stand sooner than its silence ends.
         """
         usage = self.usage_at(key)
         replica = self.fleet.replicas().get(key)
-        if probe_result.is_lost or replica is None or not usage.running:
+        if probe_result.is_lost or replica is None:
             return False
         if not usage.bound and planner.can_replace_soon(
             replica, max(1, len(probe_result.silent))
@@ -304,7 +301,7 @@
             ),
             default=kept_since,
         )
-        return now - silent_since < _MAX_KEPT_SILENCE_S
+        return now - silent_since < stream_attempts.MAX_KEPT_SILENCE_S
 
     async def _send_order(
         self, planner: zone_planner.ZonePlanner, order: model.Order
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -124,6 +124,8 @@
         invariants: Checks of conditions that must always hold.
         rows_read_at: Returns the time at which the engines' rows were last
             read, in seconds on the relay's clock.
+        is_doubted: Returns whether it is being found out if a replica still
+            serves.
         on_attempt_failed: Called with the key of a replica whose lead failed
             an attempt.
         instances: Number of instances that share the retry budgets.
@@ -166,6 +168,8 @@
         self.budgets: dict[str, budget.RetryBudget] = {}
         self.invariants = invariants.Invariants()
         self.rows_read_at: Callable[[], float] = clock
+        self.is_doubted: Callable[[fleet_model.ReplicaKey], bool]
+        self.is_doubted = _is_never_doubted
         self.on_attempt_failed: Callable[[fleet_model.ReplicaKey], object] = (
             lambda key: None
         )
@@ -776,11 +780,16 @@
             self._retry_obstacle(run, counted_attempts)
         )
 
-    def reserve_move(self, run: run_lib.Run) -> bool:
+    def reserve_move(self, run: run_lib.Run, needs_room: bool = True) -> bool:
         """Takes the retry with which a running stream goes on elsewhere.
 
+        Args:
+            run: State of the request.
+            needs_room: Whether an upstream needs a free slot to take it over.
+
         Returns:
-            Whether an upstream could take over the stream.
+            Whether an upstream could take over the stream: one of which it is
+            not being found out whether it still serves.
         """
         now = self.clock()
         criteria = selection.SelectionCriteria(
@@ -790,9 +799,15 @@
         )
         try:
             verdict = self._check_suspicion(run, now)
-            self._available_candidates(run, criteria, verdict, now)
+            available = self._available_candidates(run, criteria, verdict, now)
         except run_lib.RefusedError:
             return False
+        if not any(
+            (candidate.has_capacity or not needs_room)
+            and not (candidate.key and self.is_doubted(candidate.key))
+            for candidate in available
+        ):
+            return False
         if not run.has_reserved_retry:
             run.has_reserved_retry = self.retry_budget(run.service).spend(now)
         return run.has_reserved_retry
@@ -858,6 +873,11 @@
         return True
 
 
+def _is_never_doubted(key: fleet_model.ReplicaKey) -> bool:
+    """Returns that a replica is not being probed."""
+    return False
+
+
 def _describe_load(candidates: list[selection.Candidate]) -> str:
     """Returns a message with the running requests and slots of upstreams.
 
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -164,7 +164,12 @@
     def can_move(reason: str) -> bool:
         is_counted = _move_name(stream_attempt, reason) != _MOVED_BEFORE_START
         set_bound(relay.is_bound(run, is_counted))
-        if not stream_attempt.is_bound and relay.reserve_move(run):
+        held_s = 0.0
+        if stream_attempt.held_reason:
+            held_s = relay.clock() - stream_attempt.held_at
+        # While the replica may go on, a full one is no better place.
+        needs_room = held_s < stream_attempts.MAX_KEPT_SILENCE_S
+        if not stream_attempt.is_bound and relay.reserve_move(run, needs_room):
             return True
         if not stream_attempt.held_reason:
             stream_attempt.held_at = relay.clock()
--- a/tamarackpier/traffic/stream_attempts.py
+++ b/tamarackpier/traffic/stream_attempts.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "LINKS_LOST",
+    "MAX_KEPT_SILENCE_S",
     "STUCK",
     "STUCK_AFTER_S",
     "StreamAttempt",
@@ -31,6 +32,10 @@
 
 # Silence after which a replica is stuck and not slow, even if members answer.
 STUCK_AFTER_S = 1.5
+
+# Silence up to which a replica may go on. The platform's engines may stand
+# still for a second or so.
+MAX_KEPT_SILENCE_S = 1.3
 _MISSED_EVENTS = 2.5  # Event intervals without data before a probe.
 # Allowance for two round trips between zones and event loop lag.
 _MIN_SILENCE_S = 0.03
@@ -203,6 +208,13 @@
                 replicas.append((key, overdue_s))
         return replicas
 
+    def is_overdue(self, key: model.ReplicaKey, now: float) -> bool:
+        """Returns whether data of a replica's streams is overdue."""
+        return any(
+            self._overdue_s(attempt, now) > 0
+            for attempt in self.by_key.get(key, ())
+        )
+
     def progress_at(self, key: model.ReplicaKey) -> float:
         """Returns the time of a replica's last sign of progress, in seconds.
 
--- a/tests/exchange_fixtures.py
+++ b/tests/exchange_fixtures.py
@@ -74,8 +74,10 @@
             self.relay,
             self.fleet,
             types.SimpleNamespace(
-                receive_suspension=lambda *arguments: self.suspended.append(
-                    arguments
+                receive_suspensions=lambda suspensions, sender: (
+                    self.suspended.extend(
+                        (suspension, sender) for suspension in suspensions
+                    )
                 ),
                 receive_healthy=lambda *arguments: self.healthy.append(
                     arguments
