Deaths and trials of a suspect are in the store before it runs again

Cause: a suspect was written only once none of its deaths was younger than 2 s.

- A suspect runs, alone or as a trial, only once the store has it; while the store is away it is refused.
- Each trial is claimed in the row before it may run, so it happens once for all instances, also after restarts.
- No request is admitted before the suspects are known from the store or a peer.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -50,7 +50,7 @@
 _TICK_S = 0.025
 _PEER_ROUND_PERIOD_S = 0.25
 _PLAN_PERIOD_S = 0.1
-_QUARANTINE_PERIOD_S = 0.25
+_QUARANTINE_PERIOD_S = 0.1
 # Time after its start in which an instance learns of its peers, if it has any.
 _PEERS_KNOWN_S = 10.0
 _PLANNER_READ_INTERVAL_S = 0.05
@@ -124,6 +124,10 @@
             self.clock,
             wall_clock,
         )
+        self.quarantine_store.found_deaths = self.relay.crash_watch.deaths.keys
+        self.relay.knows_suspects = lambda: (
+            self.quarantine_store.was_loaded or bool(self.statuses.states)
+        )
         self.relay.crash_watch.on_repeated = lambda: self.peers.start_exchanges(
             is_urgent=True
         )
--- a/tamarackpier/quarantine.py
+++ b/tamarackpier/quarantine.py
@@ -13,6 +13,9 @@
 Engines may have ended by chance, and what is refused can't complete. So each
 suspect is tried again a few times, long apart, by one instance.
 
+Instances may all end at any time. So a suspect of enough deaths runs, alone or
+as a trial, only once a store keeps its deaths, and each trial is claimed there.
+
 A request that crashes upstreams never completes. Many callers may send equal
 requests or share parts, so a completion clears a fingerprint and protects it
 for a while: several upstreams that end at once would otherwise incriminate it.
@@ -165,7 +168,10 @@
         new_clearances: The same for clearances.
         may_try: Returns whether this instance may let a suspect run again to
             see whether it is harmless.
-        trials: Trials by this instance, by fingerprint.
+        trials: Trials by this instance, and earlier ones that the store has,
+            by fingerprint.
+        is_kept: Returns whether the deaths of a suspect outlast the instances.
+        has_claim: Returns whether the next trial of a suspect is claimed.
     """
 
     def __init__(self, crash_threshold: int, keep_s: float) -> None:
@@ -182,6 +188,8 @@
         self.new_clearances: dict[str, float] = {}
         self.may_try: Callable[[str], bool] = lambda suspect: False
         self.trials: dict[str, _Trials] = {}
+        self.is_kept: Callable[[str], bool] = lambda suspect: True
+        self.has_claim: Callable[[str], bool] = lambda suspect: True
 
     def add(self, crashes: Iterable[Crash]) -> None:
         """Merges crashes observed by this instance or received from a peer."""
@@ -285,11 +293,13 @@
         # One death by chance, of an upstream that ran the suspect without the
         # others, must not incriminate it.
         if len(unexplained) < max(1, self.crash_threshold - 1):
-            return Verdict.ALONE
+            return Verdict.ALONE if self.is_kept(suspect) else Verdict.WAIT
         last_death_at = self._last_death_at(suspect, deaths)
         if now - last_death_at < _PROPAGATION_S:
             return Verdict.WAIT
-        if self._is_trial_due(suspect, last_death_at, now):
+        if self._is_trial_due(suspect, last_death_at, now) and self.has_claim(
+            suspect
+        ):
             return Verdict.ALONE
         return Verdict.REFUSE
 
@@ -309,6 +319,33 @@
                 count = self.trials.get(suspect, _NO_TRIALS).count
                 self.trials[suspect] = _Trials(count + 1, now)
 
+    def due_trials(self, now: float) -> list[str]:
+        """Returns the suspects that this instance may try again."""
+        return [
+            suspect
+            for suspect in self.grave_suspects(now)
+            if self._is_trial_due(
+                suspect,
+                self._last_death_at(suspect, self.counted_deaths(suspect, now)),
+                now,
+            )
+        ]
+
+    def record_trials(self, suspect: str, count: int, last_at: float) -> None:
+        """Records earlier trials of a suspect.
+
+        Args:
+            suspect: Fingerprint of the request or part.
+            count: Number of trials.
+            last_at: Monotonic time of the last one, in seconds.
+        """
+        if count > self.trials.get(suspect, _NO_TRIALS).count:
+            self.trials[suspect] = _Trials(count, last_at)
+
+    def trial_count(self, suspect: str) -> int:
+        """Returns the number of trials of a suspect."""
+        return self.trials.get(suspect, _NO_TRIALS).count
+
     def _is_trial_due(
         self, suspect: str, last_death_at: float, now: float
     ) -> bool:
@@ -361,15 +398,21 @@
 
         Requests that contain one are refused or run alone.
         """
-        lasting = []
-        for suspect in self.repeated:
-            deaths = self.counted_deaths(suspect, now)
-            if (
-                len(deaths) >= self.crash_threshold
-                and now - self._last_death_at(suspect, deaths) >= _PROPAGATION_S
-            ):
-                lasting.append(suspect)
-        return sorted(lasting)
+        return [
+            suspect
+            for suspect in self.grave_suspects(now)
+            if now
+            - self._last_death_at(suspect, self.counted_deaths(suspect, now))
+            >= _PROPAGATION_S
+        ]
+
+    def grave_suspects(self, now: float) -> list[str]:
+        """Returns the suspects of enough deaths, also of recent ones."""
+        return sorted(
+            suspect
+            for suspect in self.repeated
+            if len(self.counted_deaths(suspect, now)) >= self.crash_threshold
+        )
 
     def counted_deaths(self, suspect: str, now: float) -> set[str]:
         """Returns the recent deaths since a suspect was last cleared."""
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -124,6 +124,8 @@
         invariants: Checks of conditions that must always hold.
         rows_read_at: Returns the time at which the engines' rows were last
             read, in seconds on the relay's clock.
+        knows_suspects: Returns whether it is known which requests crash
+            upstreams; until then none is admitted.
         is_doubted: Returns whether it is being found out if a replica still
             serves.
         on_attempt_failed: Called with the key of a replica whose lead failed
@@ -168,6 +170,7 @@
         self.budgets: dict[str, budget.RetryBudget] = {}
         self.invariants = invariants.Invariants()
         self.rows_read_at: Callable[[], float] = clock
+        self.knows_suspects: Callable[[], bool] = lambda: True
         self.is_doubted: Callable[[fleet_model.ReplicaKey], bool]
         self.is_doubted = _is_never_doubted
         self.on_attempt_failed: Callable[[fleet_model.ReplicaKey], object] = (
@@ -307,10 +310,11 @@
                 " shutting down",
                 LEAVING_RETRY_AFTER_S,
             )
-        if routing is None:
+        if routing is None or not self.knows_suspects():
+            lacking = "suspects" if routing else "a configuration"
             raise run_lib.refusal(
                 codes.NOT_CONFIGURED,
-                "this instance has not read a configuration yet",
+                f"this instance has not read {lacking} yet",
                 _NOT_CONFIGURED_RETRY_AFTER_S,
             )
         route = _unwrap(routing.match(request.host, request.path))
