Services share a zone; late formations go on; nothing runs after an end

- Two services of models in one zone named their replicas alike, and callers of one got 503 for 30 s.
Names contain the service now.
- A formation was given up a fixed time after its start, also while its members joined one after the other, and the next one began with none.
Its time limit counts from the last progress now, up to four times the limit in all.
- An instance that ended left probes, orders and polls running, which logged a traceback after "stopped".
- A channel to a carrying peer that fell silent was kept; it is replaced after two failures in a row, and calls on it may still end.

--- a/tamarackpier/daemon/carriage.py
+++ b/tamarackpier/daemon/carriage.py
@@ -39,6 +39,11 @@
 _OWN_ZONE_ALLOWANCE = 4
 # Largest message of a peer: the body of a request and its head.
 _MAX_MESSAGE_BYTES = 16 << 20
+# Consecutive failures after which a channel is replaced: it may be silent for
+# good while a new one works.
+_MAX_FAILURES_PER_CHANNEL = 2
+# Time that calls on a replaced channel have to end.
+_REPLACED_CHANNEL_GRACE_S = 30.0
 # Bytes of an answer that wait here for a slow caller.
 _WINDOW_BYTES = 1 << 16
 # Part of the detail with which a call ends that found no connection.
@@ -295,6 +300,7 @@
         metrics: Counters of this instance.
         rng: Source of the choice among equal peers.
         carried: Requests of this instance that each peer carries, by its ID.
+        failures: Consecutive failures of calls to each peer, by its ID.
     """
 
     def __init__(
@@ -311,6 +317,7 @@
         self.metrics = counts
         self.rng = rng
         self.carried: collections.Counter[str] = collections.Counter()
+        self.failures: collections.Counter[str] = collections.Counter()
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._tasks = tasks.Tasks()
 
@@ -340,9 +347,11 @@
             answer = await stub.Ask(question, timeout=timeout_s + _HOP_S)
         except (grpc.aio.AioRpcError, grpc.aio.UsageError) as error:
             self.metrics.count("peer_error", "ask")
+            self._record_failure(peer_id)
             return failures.failure(
                 codes.PEER_UNAVAILABLE, f"{peer_id}: {_describe(error)}"
             )
+        self.failures.pop(peer_id, None)
         return _report_from_wire(engine.id, answer)
 
     async def report(
@@ -379,6 +388,10 @@
             part = None
             try:
                 part = await carriage.read()
+                self.failures.pop(peer.id, None)
+            except gateway.AnswerBrokenError:
+                self._record_failure(peer.id)
+                raise
             finally:
                 if part is None or not part.HasField("head"):
                     carriage.close()
@@ -431,6 +444,22 @@
 
         return sorted(peers, key=load)
 
+    def _record_failure(self, peer_id: str) -> None:
+        """Replaces the channel to a peer after several failures in a row.
+
+        Calls that run on it may still end.
+        """
+        self.failures[peer_id] += 1
+        if self.failures[peer_id] < _MAX_FAILURES_PER_CHANNEL:
+            return
+        del self.failures[peer_id]
+        for peer in self.candidates():
+            channel = self._channels.get(peer.peer_address)
+            if peer.id == peer_id and channel is not None:
+                del self._channels[peer.peer_address]
+                self.metrics.count("channel_replaced")
+                self._tasks.start(channel.close(_REPLACED_CHANNEL_GRACE_S))
+
     def keep_only(self, live_addresses: set[str]) -> None:
         """Drops the channels to other addresses."""
         for address in set(self._channels) - live_addresses:
@@ -439,6 +468,7 @@
 
     async def close(self) -> None:
         """Closes all channels."""
+        self._tasks.cancel()
         for channel in self._channels.values():
             await channel.close()
         self._channels.clear()
--- a/tamarackpier/daemon/crash_checks.py
+++ b/tamarackpier/daemon/crash_checks.py
@@ -48,6 +48,10 @@
             else:
                 self._tasks.start(self._probe_engine(upstream))
 
+    def close(self) -> None:
+        """Ends all probes."""
+        self._tasks.cancel()
+
     def _apply_replica_probe(
         self,
         key: model.ReplicaKey,
--- a/tamarackpier/daemon/engine_poller.py
+++ b/tamarackpier/daemon/engine_poller.py
@@ -76,6 +76,10 @@
         """Forgets the poll times; called while rows are not stale."""
         self._polled_at.clear()
 
+    def close(self) -> None:
+        """Ends all polls."""
+        self._polls.cancel()
+
     async def _poll_engine(
         self, engine: model.EngineRecord, polled_at: float
     ) -> None:
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -488,6 +488,10 @@
         if self._registration is not None:
             self._registration.cancel()
         self.link_checker.close()
+        self.prober.close()
+        self.crash_checker.close()
+        for controller in self.zone_controllers.values():
+            controller.close()
         await self.peer_engines.close()
         await self.peers.close()
         await self.peer_server.stop(0)
--- a/tamarackpier/daemon/join_questions.py
+++ b/tamarackpier/daemon/join_questions.py
@@ -72,6 +72,10 @@
                 self._asked_at[engine.id] = now
             self._tasks.start(self._ask_all(planner, engines))
 
+    def close(self) -> None:
+        """Ends all questions."""
+        self._tasks.cancel()
+
     async def _ask_all(
         self,
         planner: zone_planner.ZonePlanner,
--- a/tamarackpier/daemon/probing.py
+++ b/tamarackpier/daemon/probing.py
@@ -184,6 +184,12 @@
         self._held_checked_at = 0.0
         self._tasks = tasks.Tasks()
 
+    def close(self) -> None:
+        """Ends all probes."""
+        self._tasks.cancel()
+        for probe_task in self.running_probes.values():
+            probe_task.cancel()
+
     def probe_silent_replicas(self) -> None:
         """Starts a probe round for each silent replica and rechecks engines."""
         now = self.clock()
--- a/tamarackpier/daemon/zone_controller.py
+++ b/tamarackpier/daemon/zone_controller.py
@@ -171,6 +171,12 @@
         """Releases the lease so that another instance can plan at once."""
         await self.lease.release()
 
+    def close(self) -> None:
+        """Ends all orders, polls and checks."""
+        self._tasks.cancel()
+        self.engine_poller.close()
+        self.join_questions.close()
+
     def _on_lease_lost(self) -> None:
         """Discards the planners, but not the fencing number they reached.
 
--- a/tamarackpier/fleet/formation.py
+++ b/tamarackpier/fleet/formation.py
@@ -10,6 +10,10 @@
 __all__ = ["Formation"]
 
 
+# Factor on the time limit up to which a formation that makes progress goes on.
+_MAX_PATIENCE = 4.0
+
+
 @dataclasses.dataclass
 class Formation:
     """A replica that is being formed.
@@ -27,6 +31,9 @@
         sent_orders: Orders sent for this formation.
         unconfirmed: IDs of the members that have to say that they are in no
             replica before their order to join is sent again.
+        progress: Numbers of members that are ready, and that have joined.
+        progressed_at: Time at which that last grew, in seconds on the
+            monotonic clock; None before it did.
     """
 
     key: model.ReplicaKey
@@ -41,6 +48,8 @@
         default_factory=sent_orders_lib.SentOrders
     )
     unconfirmed: set[str] = dataclasses.field(default_factory=set)
+    progress: tuple[int, int] = (0, 0)
+    progressed_at: float | None = None
 
     def is_open(self, fleet: fleet_view.FleetView) -> bool:
         """Returns whether the lead is known to accept requests."""
@@ -55,14 +64,18 @@
         """Returns the orders to send now.
 
         Returns:
-            The orders; None if the formation has failed, because a member is
-            no longer available or `timeout_s` has passed.
+            The orders; None if the formation has failed: a member is no longer
+            available, or `timeout_s` has passed without progress, or several
+            times that in all.
         """
         self.unconfirmed.clear()
         engines = self._available_members(fleet)
-        if engines is None or now - self.started_at > self.timeout_s:
+        if engines is None:
             return None
         states = [_member_state(engine, self.key) for engine in engines]
+        self._record_progress(engines, states, now)
+        if self._is_late(now):
+            return None
         if states[0] is model.MemberState.OPEN:
             return []
         if all(state is model.MemberState.READY for state in states):
@@ -84,6 +97,38 @@
                 orders += self._take_join_if_due(order, fleet, now)
         return orders
 
+    def _record_progress(
+        self,
+        engines: list[model.EngineRecord],
+        states: list[model.MemberState | None],
+        now: float,
+    ) -> None:
+        ready = sum(state is model.MemberState.READY for state in states)
+        joined = sum(
+            state is not None or engine.id in self.joined
+            for engine, state in zip(engines, states, strict=True)
+        )
+        if ready > self.progress[0] or joined > self.progress[1]:
+            self.progressed_at = now
+        self.progress = (
+            max(ready, self.progress[0]),
+            max(joined, self.progress[1]),
+        )
+
+    def _is_late(self, now: float) -> bool:
+        """Returns whether the formation is given up.
+
+        One whose members join late goes on from where it is: a new one would
+        be as late, and begin with none.
+        """
+        since = self.started_at
+        if self.progressed_at is not None:
+            since = self.progressed_at
+        return (
+            now - since > self.timeout_s
+            or now - self.started_at > _MAX_PATIENCE * self.timeout_s
+        )
+
     def _take_join_if_due(
         self, order: model.Order, fleet: fleet_view.FleetView, now: float
     ) -> list[model.Order]:
--- a/tamarackpier/fleet/zone_planner.py
+++ b/tamarackpier/fleet/zone_planner.py
@@ -6,6 +6,7 @@
 planner, so an engine refuses orders with a lower number than it has seen.
 """
 
+import binascii
 import collections
 import math
 from collections.abc import Mapping
@@ -529,9 +530,7 @@
         asked_since: float,
         now: float,
     ) -> formation_lib.Formation:
-        key = model.ReplicaKey(
-            f"{self.zone}-{self.holder}-{self.next_fence}", self.next_fence
-        )
+        key = self._next_key()
         self.next_fence += 1
         formation = formation_lib.Formation(
             key,
@@ -545,6 +544,17 @@
         self.formations[key] = formation
         return formation
 
+    def _next_key(self) -> model.ReplicaKey:
+        """Returns the key of the next replica.
+
+        The planners of several services in a zone use the same numbers.
+        """
+        service_hash = binascii.crc32(self.service.encode())
+        return model.ReplicaKey(
+            f"{self.zone}-{service_hash:08x}-{self.holder}-{self.next_fence}",
+            self.next_fence,
+        )
+
 
 def _are_all_released(
     retirements: retirement.Retirements, replica: model.Replica
