Unfinished answers share a limit on the memory of an instance

Report of another operator: a faulty engine sent bytes without end, the machine that had called it kept them and ran out of memory, and other clients' requests ended with it. One answer is bounded here since long (4 MB), but 60 requests with such answers held 139 MB together on; the smallest instances have some 200 MB.

Answers that are being read now share 32 MB, on both faces; past that an answer that has its share or more is given up, so small sound ones go on.

--- a/tamarackpier/traffic/attempt.py
+++ b/tamarackpier/traffic/attempt.py
@@ -8,7 +8,7 @@
 from tamarackpier.traffic import caller, crash_watch, selection
 from tamarackpier.traffic import relay as relay_lib
 from tamarackpier.traffic import run as run_lib
-from tamarackpier.upstream import gateway
+from tamarackpier.upstream import answer_memory, gateway
 
 __all__ = [
     "BAD_ANSWER",
@@ -38,8 +38,6 @@
 _REFUSAL_STATUSES = (400, 421, 429, 503)
 # Statuses that promise callers that the request did not run and never will.
 _PROMISE_STATUSES = (408, 421, 429, 503)
-# Maximum size of an answer that is read to its end before it is passed on.
-_MAX_ANSWER_BYTES = 4 << 20
 
 
 def _check_answer(answer: gateway.Answer) -> str:
@@ -223,7 +221,7 @@
     try:
         with watched_for_crash(relay, run, candidate) as watched:
             answer = await send(relay, run, candidate)
-            body = await read_body(answer)
+            body = await read_body(answer, relay.answer_memory)
             watched.is_completed = answer.status < 500
         now = relay.clock()
         if answer.status >= 500:
@@ -241,31 +239,33 @@
         relay.engine_loads.end(engine_id)
 
 
-async def read_body(answer: gateway.Answer) -> bytes:
+async def read_body(
+    answer: gateway.Answer, memory: answer_memory.AnswerMemory
+) -> bytes:
     """Returns the complete body of an answer, and closes it.
 
+    Args:
+        answer: The answer.
+        memory: Counts the bytes of all answers that are read.
+
     Raises:
         run_lib.AttemptFailedError: The answer was cut off, or is too large.
     """
-    chunks = []
-    size = 0
     try:
-        while data := await answer.read():
-            chunks.append(data)
-            size += len(data)
-            if size > _MAX_ANSWER_BYTES:
-                raise run_lib.AttemptFailedError(
-                    BAD_ANSWER,
-                    f"body exceeds the limit of {_MAX_ANSWER_BYTES} bytes",
-                    False,
-                )
+        with memory.hold() as held:
+            while data := await answer.read():
+                held.add(data)
+            return held.body()
+    except answer_memory.TooLargeError as error:
+        raise run_lib.AttemptFailedError(
+            BAD_ANSWER, str(error), False
+        ) from error
     except gateway.AnswerBrokenError as error:
         raise run_lib.AttemptFailedError(
             "cut_off", str(error), False
         ) from error
     finally:
         answer.close()
-    return b"".join(chunks)
 
 
 async def deliver(connection: caller.Caller, answer: CompleteAnswer) -> None:
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -36,7 +36,7 @@
     stream_attempts,
 )
 from tamarackpier.traffic import run as run_lib
-from tamarackpier.upstream import gateway
+from tamarackpier.upstream import answer_memory, gateway
 
 __all__ = [
     "LEAVING_RETRY_AFTER_S",
@@ -46,6 +46,8 @@
     "RelaySettings",
 ]
 
+# Maximum size of an answer that is read to its end before it is passed on.
+_MAX_ANSWER_BYTES = 4 << 20
 # Maximum number of attempts of one request, even if its route allows more.
 _MAX_SENDS = 4
 _BODY_TIMEOUT_S = 10.0
@@ -124,6 +126,7 @@
         invariants: Checks of conditions that must always hold.
         rows_read_at: Returns the time at which the engines' rows were last
             read, in seconds on the relay's clock.
+        answer_memory: Counts the bytes of the answers that are being read.
         knows_suspects: Returns whether it is known which requests crash
             upstreams; until then none is admitted.
         is_doubted: Returns whether it is being found out if a replica still
@@ -168,6 +171,7 @@
         self.limits = rate_limits.UpstreamLimits()
         self.waits = engine_waits.EngineWaits()
         self.budgets: dict[str, budget.RetryBudget] = {}
+        self.answer_memory = answer_memory.AnswerMemory(_MAX_ANSWER_BYTES)
         self.invariants = invariants.Invariants()
         self.rows_read_at: Callable[[], float] = clock
         self.knows_suspects: Callable[[], bool] = lambda: True
--- a/tamarackpier/traffic/stream.py
+++ b/tamarackpier/traffic/stream.py
@@ -363,7 +363,9 @@
             answer has been started.
     """
     complete_answer = attempt.CompleteAnswer(
-        answer.status, answer.headers, await attempt.read_body(answer)
+        answer.status,
+        answer.headers,
+        await attempt.read_body(answer, relay.answer_memory),
     )
     can_retry = run.route.is_resumable and (
         run.counted_attempts + 1 < run.route.max_attempts
--- a/tamarackpier/upstream/bounded_http.py
+++ b/tamarackpier/upstream/bounded_http.py
@@ -11,6 +11,8 @@
 import aiohttp
 from aiohttp import client_proto
 
+from tamarackpier.upstream import answer_memory
+
 __all__ = [
     "BoundedConnector",
     "EndlessAnswerError",
@@ -132,26 +134,36 @@
     return protocol.closed if protocol is not None else None
 
 
-async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+async def read_body(
+    response: aiohttp.ClientResponse,
+    max_bytes: int,
+    memory: answer_memory.AnswerMemory | None = None,
+) -> bytes:
     """Returns the complete body of a response.
 
+    Args:
+        response: The response.
+        max_bytes: Maximum size that the response may announce.
+        memory: Counts the bytes of all answers that are read; None to limit
+            this one to `max_bytes` alone.
+
     Raises:
-        EndlessAnswerError: The body is larger than `max_bytes`; the connection
-            is closed.
+        EndlessAnswerError: The body is too large; the connection is closed.
         aiohttp.ClientError: The connection failed before the body ended.
     """
     end = unframed_end(response)
-    parts: list[bytes] = []
-    size = 0
-    while max(size, response.content_length or 0) <= max_bytes:
-        data = await response.content.readany()
-        if not data:
+    memory = memory or answer_memory.AnswerMemory(max_bytes)
+    try:
+        if (response.content_length or 0) > max_bytes:
+            raise answer_memory.TooLargeError(
+                f"body exceeds the limit of {max_bytes} bytes"
+            )
+        with memory.hold() as held:
+            while data := await response.content.readany():
+                held.add(data)
             if end is not None:
                 await end
-            return b"".join(parts)
-        parts.append(data)
-        size += len(data)
-    response.close()
-    raise EndlessAnswerError(
-        f"body of the answer exceeds the limit of {max_bytes} bytes"
-    )
+            return held.body()
+    except answer_memory.TooLargeError as error:
+        response.close()
+        raise EndlessAnswerError(str(error)) from error
--- a/tamarackpier/upstream/service.py
+++ b/tamarackpier/upstream/service.py
@@ -10,7 +10,7 @@
 
 from tamarackpier import codes, failures
 from tamarackpier.request import model
-from tamarackpier.upstream import bounded_http
+from tamarackpier.upstream import answer_memory, bounded_http
 
 __all__ = ["HttpServiceClient", "ServiceAnswer", "ServiceClient"]
 
@@ -68,10 +68,12 @@
 
     Attributes:
         session: HTTP session; it must not reuse connections.
+        answer_memory: Counts the bytes of the answers that are being read.
     """
 
     def __init__(self, session: aiohttp.ClientSession) -> None:
         self.session = session
+        self.answer_memory = answer_memory.AnswerMemory(_MAX_ANSWER_BYTES)
 
     async def call(
         self, address: str, call: model.ServiceCall, timeout_s: float
@@ -93,7 +95,9 @@
                     total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
                 ),
             ) as response:
-                body = await bounded_http.read_body(response, _MAX_ANSWER_BYTES)
+                body = await bounded_http.read_body(
+                    response, _MAX_ANSWER_BYTES, self.answer_memory
+                )
                 content_type = response.headers.get(
                     "Content-Type", _DEFAULT_CONTENT_TYPE
                 )
