Followers return to their peer soon after a failed start; leases renew later

A follower that fails to follow reads the store for 0.4 s, doubled up to 3 s. Leases of 3 s are renewed after 1.35 s instead of 1 s; a call that is lost is still made again before orders have to stop.

tests.test_entry_exchange: the pauses; fails before (3 s at once).

--- a/tamarackpier/daemon/row_source.py
+++ b/tamarackpier/daemon/row_source.py
@@ -27,7 +27,10 @@
 # Longest wait of the reader of a large fleet for a change. If an answer of the
 # store is lost, all others know nothing new until the wait ends.
 _READER_WAIT_S = 1.0
-_PEER_BACKOFF_S = 3.0  # After a peer fails, the store is read for this long.
+# Time for which the store is read after a peer failed, the first time and at
+# most. At the start of a fleet a peer has rows to pass on a moment later.
+_MIN_PEER_BACKOFF_S = 0.4
+_MAX_PEER_BACKOFF_S = 3.0
 
 
 class RowSource(interfaces.Watch):
@@ -70,6 +73,7 @@
         )
         self.reads_store = True
         self._backoff_until = 0.0
+        self._backoff_s = _MIN_PEER_BACKOFF_S
         self._configuration_passed_at = -math.inf
         # Newest version that peers have and this instance lacks, and the time
         # since when.
@@ -97,6 +101,7 @@
             )
             is_current = not self._is_behind()
             if pipeline.is_successful(follow_result) and is_current:
+                self._backoff_s = _MIN_PEER_BACKOFF_S
                 self.metrics.count("rows_read", "peer")
                 self.reads_store = False
                 followed = follow_result.unwrap()
@@ -168,7 +173,8 @@
         parent: str,
         follow_result: result.Result[entry_peers.Followed, codes.Fault],
     ) -> None:
-        self._backoff_until = self.clock() + _PEER_BACKOFF_S
+        self._backoff_until = self.clock() + self._backoff_s
+        self._backoff_s = min(_MAX_PEER_BACKOFF_S, 2.0 * self._backoff_s)
         self._missing_version = None
         reason = "is behind"
         if not pipeline.is_successful(follow_result):
--- a/tamarackpier/replica/lease.py
+++ b/tamarackpier/replica/lease.py
@@ -43,7 +43,7 @@
 # Highest number of a lease; its fencing numbers stay exact in JSON.
 _MAX_NUMBER = (1 << 53) // FENCES_PER_LEASE
 # Share of a lease's duration after which the holder renews it.
-_RENEW_AFTER_SHARE = 1 / 3
+_RENEW_AFTER_SHARE = 0.45
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -410,8 +410,10 @@
 
     def __init__(self, answer):
         self.answer = answer
+        self.asked = 0
 
     async def follow_engines(self, name, after, wait_s):
+        self.asked += 1
         return self.answer
 
 
@@ -468,6 +470,31 @@
     assert store.reads == 2
 
 
+def test_a_peer_that_failed_once_is_asked_again_soon_and_later_more_rarely():
+    """At the start of a fleet, peers have no rows to pass on for a moment."""
+    failure = failures.failure(codes.PEER_UNAVAILABLE, "entry-000")
+    source, store, clock = _source(failure)
+    asked_at = []
+    for step in range(1, 120):
+        clock.now = step * 0.1
+        source.roster.record_beat("entry-000", step, True, False, clock.now)
+        asks = source.peers.asked
+        asyncio.run(source.changes("engines", 5, 1.0))
+        if source.peers.asked > asks:
+            asked_at.append(clock.now)
+    pauses = [
+        round(later - earlier, 1)
+        for earlier, later in zip(asked_at, asked_at[1:], strict=False)
+    ]
+    assert pauses[:4] == [0.4, 0.8, 1.6, 3.0]
+    source.peers.answer = _followed(6)
+    clock.now += 3.1
+    source.roster.record_beat("entry-000", 500, True, False, clock.now)
+    reads = store.reads
+    asyncio.run(source.changes("engines", 5, 1.0))
+    assert store.reads == reads
+
+
 def test_rows_come_from_store_when_peer_stays_behind():
     answer = _followed(5)
     source, store, clock = _source(answer, newest=9)
