--- a/tests/ports.py
+++ b/tests/ports.py
@@ -1,20 +1,48 @@
-"""Free loopback ports for the servers that tests start."""
+"""Free loopback ports for the servers that tests start.
+
+Each process takes its ports from a block that no other process uses at the same
+time: it holds a lock on the block's file until it ends.
+"""
 
 import contextlib
+import fcntl
 import itertools
+import os
+import pathlib
 import random
 import socket
 
 # Linux assigns ports from 32768 on to outgoing connections. A connection of the
-# test could take such a port before the server for it starts.
-FIRST_PORT = 10_000
-LAST_PORT = 19_999
+# test could take such a port before the server for it starts. The soak of real
+# processes uses the ports from 20000 on, at addresses of its own.
+_FIRST_PORT = 10_000
+_BLOCK_PORTS = 250
+_BLOCK_COUNT = 40
+_LOCK_FOLDER = pathlib.Path("/tmp")
+
+
+def _claim_block() -> int:
+    """Returns the first port of a block that no other process uses.
+
+    The lock is released when the process ends.
+    """
+    blocks = list(range(_BLOCK_COUNT))
+    random.SystemRandom().shuffle(blocks)
+    for block in blocks:
+        path = _LOCK_FOLDER / f"tamarackpier-test-ports-{block}.lock"
+        descriptor = os.open(path, os.O_CREAT | os.O_RDWR, 0o666)
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            os.close(descriptor)
+            continue
+        return _FIRST_PORT + block * _BLOCK_PORTS
+    raise RuntimeError(f"all {_BLOCK_COUNT} blocks of test ports are in use")
+
 
-# The search begins at a random port, so that concurrent test runs rarely try
-# the same ports.
+FIRST_PORT = _claim_block()
+LAST_PORT = FIRST_PORT + _BLOCK_PORTS - 1
 _candidates = itertools.cycle(range(FIRST_PORT, LAST_PORT + 1))
-for _ in range(random.randrange(LAST_PORT - FIRST_PORT)):
-    next(_candidates)
 
 
 def free_port() -> int:
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -44,6 +44,7 @@
     hosted_fixtures,
     limit_checks,
     ports,
+    process_beliefs,
     process_faults,
     process_fixtures,
     process_planned,
@@ -170,12 +171,13 @@
         """Adds a violated guarantee to the report."""
         self.report.violations.append(violation)
 
-    async def run(self, seconds, planned_seconds=0.0):
+    async def run(self, seconds, planned_seconds=0.0, tests_beliefs=False):
         """Plays the whole run and returns its report.
 
         Args:
             seconds: Duration of the phase in which faults start, in seconds.
             planned_seconds: The same of the phase of planned work; 0 for none.
+            tests_beliefs: Whether the events of `process_beliefs` are played.
         """
         await self.platform.start()
         for domain in range(2):
@@ -208,6 +210,8 @@
                 await self._inject_faults(seconds)
                 if planned_seconds:
                     await process_planned.Phase(self).run(planned_seconds)
+                if tests_beliefs:
+                    await process_beliefs.Phase(self).run()
                 self.limit_an_engine()
                 background_tasks.append(
                     asyncio.ensure_future(self._send_crashing_requests())
@@ -672,6 +676,7 @@
     other_commit: str = "",
     is_rollback: bool = False,
     planned_seconds: float = 0.0,
+    tests_beliefs: bool = False,
 ) -> Report:
     """Plays one seed; keeps the logs of the instances after a violation.
 
@@ -685,6 +690,7 @@
         is_rollback: Whether that build replaces this one instead.
         planned_seconds: Duration of the phase of planned work, in seconds; 0
             for none.
+        tests_beliefs: Whether the events of `process_beliefs` are played.
     """
     with tempfile.TemporaryDirectory() as folder:
         soak = Soak(seed, count, pathlib.Path(folder), restores_store)
@@ -693,7 +699,7 @@
             soak.builds = (
                 (None, other_build) if is_rollback else (other_build, None)
             )
-        report = asyncio.run(soak.run(seconds, planned_seconds))
+        report = asyncio.run(soak.run(seconds, planned_seconds, tests_beliefs))
         if report.violations:
             log_folder = pathlib.Path(tempfile.gettempdir()) / f"soak-{seed}"
             log_folder.mkdir(exist_ok=True)
@@ -720,6 +726,11 @@
     default=10.0,
     help="Duration of the phase of planned work, in seconds; 0 for none.",
 )
+@click.option(
+    "--beliefs",
+    is_flag=True,
+    help="Plays the events after which beliefs of instances are wrong.",
+)
 @click.option("--instances", default=3, help="Number of entry instances.")
 @click.option(
     "--restores", is_flag=True, help="Restores the store from copies as well."
@@ -737,6 +748,7 @@
     runs: int,
     seconds: float,
     planned_seconds: float,
+    beliefs: bool,
     instances: int,
     restores: bool,
     other_commit: str,
@@ -753,6 +765,7 @@
             other_commit,
             rollback,
             planned_seconds,
+            beliefs,
         )
         if report.violations:
             failed_seeds.append(run_seed)
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -35,6 +35,18 @@
         assert report.outcomes[f"planned {path} 200"], report.outcomes
 
 
+def test_no_belief_of_real_processes_outlives_the_world():
+    report = process_soak.run(5001, 1.0, INSTANCES, tests_beliefs=True)
+    assert not report.violations, report.violations
+    for event in (
+        "offers",
+        "silent_store",
+        "vanishing_row",
+        "killed_after_a_third_crash",
+    ):
+        assert report.faults[event] == 1
+
+
 def test_a_soak_notices_requests_without_an_answer_or_a_refusal():
     soak = process_soak.Soak(1, 1, pathlib.Path("."))
     phase = process_planned.Phase(soak)
