--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -534,8 +534,9 @@
 
     def _on_rows_returned(self) -> None:
         now = self.clock()
+        # A poll that was lost in an earlier outage may fail long after it.
         self.fleet.mark_store_reachable(
-            _ROWS_COMPONENT, now, self.catch_up.peers_ahead_since
+            _ROWS_COMPONENT, now, self.store_contact.returned_at
         )
 
     def _on_store_failed(self, sent_at: float) -> None:
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -811,7 +811,7 @@
         except run_lib.RefusedError:
             return False
         if not any(
-            (candidate.has_capacity or not needs_room)
+            (candidate.usage.running < candidate.slots or not needs_room)
             and not (candidate.key and self.is_doubted(candidate.key))
             for candidate in available
         ):
--- a/tests/test_moved_streams.py
+++ b/tests/test_moved_streams.py
@@ -139,6 +139,15 @@
             assert not relay.reserve_move(run)
             doubted.remove(KEYS[0])
             assert relay.reserve_move(run)
+            # Until its own replica has been silent for long, a full one is no
+            # better place; a late one is.
+            slots = relay.engine_spec("drafts").slots
+            for _ in range(slots - 1):
+                relay.replica_loads.begin(KEYS[0], 0)
+            assert relay.reserve_move(run)
+            relay.replica_loads.begin(KEYS[0], 0)
+            assert not relay.reserve_move(run)
+            assert relay.reserve_move(run, needs_room=False)
 
     asyncio.run(check())
 
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 import types
 
 import hypothesis
@@ -118,7 +119,7 @@
         assert view.expire(10.0 + kept_s) == ["e0"]
 
 
-def test_time_since_peers_know_of_the_return_counts():
+def test_time_since_another_call_showed_the_return_counts():
     view = fleet_view.FleetView(2.0)
     view.put(hosted_fixtures.record("e0"))
     view.mark_store_unreachable("rows")
@@ -144,6 +145,26 @@
     assert contact.away_since is None
 
 
+def test_engines_are_kept_until_rows_that_lapsed_in_an_outage_are_back():
+    async def check(deployment, row_store):
+        row = row_store.rows[wire.Field.ENGINES_TABLE, "o1"][0]
+        row_store.set_silent(True)
+        await asyncio.sleep(4.0)
+        row_store.put(wire.Field.ENGINES_TABLE, "o1", None)
+        row_store.set_silent(False)
+        ends_at = time.monotonic() + 1.3
+        while time.monotonic() < ends_at:
+            for instance in deployment.instances:
+                assert "o1" in instance.fleet.engines
+            await asyncio.sleep(0.02)
+        row_store.put(wire.Field.ENGINES_TABLE, "o1", row)
+        await asyncio.sleep(3.0)
+        for instance in deployment.instances:
+            assert "o1" in instance.fleet.engines
+
+    _whole(check)
+
+
 class _FakeStore(interfaces.Watch):
     """A store with one table whose rows are a single counter.
 
