--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -59,8 +59,6 @@
 _FOLLOWER_READ_INTERVAL_S = 0.4
 _PEER_READ_INTERVAL_S = 0.1  # Batches the rows that change meanwhile.
 _CONFIGURATION_READ_INTERVAL_S = 0.1
-# Longest wait of a poll of the instance that watches for silent outages.
-_KEEPER_POLL_S = 2.0
 # Time between a follower's decision to call the store and its call.
 _SAME_CALL_S = 0.02
 # Outage from which what the store answered before it is doubted. Engine rows
@@ -557,13 +555,17 @@
     def _max_poll_s(self) -> float:
         """Returns for how long a poll may wait for a change, in seconds.
 
-        One instance of the fleet keeps its polls short, so that an outage that
-        no other call meets is noticed by one and soon known to all.
+        One instance of the fleet waits no longer than a change may take to be
+        in force, so that an outage that no other call meets is noticed by one
+        and soon known to all.
         """
         own = self.roster.own_presence
         live = self.roster.live(self.clock())
         first = min([own.id, *(peer.id for peer in live if peer.is_ready)])
-        return _KEEPER_POLL_S if own.id == first else store_watch.MAX_WAIT_S
+        if own.id != first:
+            return store_watch.MAX_WAIT_S
+        bounds = self.settings.bounds
+        return min(bounds.drain_ms, bounds.config_apply_ms) / _MS_PER_S
 
     def _on_links_changed(self) -> None:
         """Tells peers; what failed on lost links says nothing of engines."""
