An instance that learns of a return from peers keeps engines without a row too

An instance whose poll is renewed since a peer knows more met no outage by its own calls, so it dropped engines whose rows had lapsed, up to 2 s before they were back.

--- a/tamarackpier/fleet/fleet_view.py
+++ b/tamarackpier/fleet/fleet_view.py
@@ -179,7 +179,7 @@
             self.rows_fresh_from = max(
                 self.rows_fresh_from, since + STORE_RETURN_GRACE_S
             )
-            self._keep_engines_without_row(since)
+            self.keep_engines_without_row(since)
 
     def mark_rows_stale(self, now: float) -> None:
         """Records that rows may show an earlier state of the engines.
@@ -190,8 +190,13 @@
             self.rows_fresh_from, now + STORE_RETURN_GRACE_S
         )
 
-    def _keep_engines_without_row(self, since: float) -> None:
-        """Keeps engines whose row lapsed while the store was away."""
+    def keep_engines_without_row(self, since: float) -> None:
+        """Keeps engines whose row lapsed while the store was away.
+
+        Args:
+            since: Time since which the store is known to answer, in seconds on
+                the monotonic clock.
+        """
         self.rows_back_by = max(
             self.rows_back_by,
             since + min(self.drain_s, STORE_RETURN_GRACE_S),
@@ -204,7 +209,7 @@
         engines write them again.
         """
         self.mark_rows_stale(now)
-        self._keep_engines_without_row(now)
+        self.keep_engines_without_row(now)
         self.restored_until = self.rows_fresh_from
         for engine_id, engine in self.engines.items():
             observation = self.observations.setdefault(
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -277,12 +277,14 @@
         peer: The peer.
         version: Version of the rows that the instance has.
         configuration: Has the version and routing of its configuration.
+        fleet: The instance's view of engines.
     """
 
     def __init__(self, reader, peer):
         self.reader = reader
         self.peer = peer
         self.configuration = types.SimpleNamespace(version=1, routing=True)
+        self.fleet = fleet_view.FleetView()
 
     @property
     def version(self):
