--- a/tamarackpier/daemon/quarantine_store.py
+++ b/tamarackpier/daemon/quarantine_store.py
@@ -74,7 +74,6 @@
         self.was_loaded = False
         self._next_call_at = float("-inf")
         self._sought: set[str] = set()
-        quarantine.is_kept = self.is_kept
         quarantine.has_claim = self.has_claim
 
     def is_kept(self, suspect: str) -> bool:
--- a/tests/test_kept_suspects.py
+++ b/tests/test_kept_suspects.py
@@ -31,6 +31,7 @@
             lambda: self.now + 1000.0,
         )
         self.store.found_deaths = lambda: found
+        self.quarantine.is_kept = self.store.is_kept
 
     def add(self, *crashes):
         self.quarantine.add(
