--- a/tamarackpier/daemon/catch_up.py
+++ b/tamarackpier/daemon/catch_up.py
@@ -1,8 +1,10 @@
 """Fetches from peers what this instance cannot read from the store."""
 
+from collections.abc import Callable
+
 from returns import pipeline
 
-from tamarackpier import metrics
+from tamarackpier import logs, metrics
 from tamarackpier.daemon import (
     entry_peers,
     loops,
@@ -34,6 +36,8 @@
         configuration: Cache of the configuration; updated.
         engines: Cache of the engine rows; updated.
         follower: Follows the engine rows in the store.
+        configuration_poll_s: Returns for how long the call for the
+            configuration that is in flight has waited, in seconds.
         metrics: Counts fetches and their failures.
         peers_ahead_since: Time since which a live peer has had newer engine
             rows than this instance, in seconds on the monotonic clock; None if
@@ -55,6 +59,7 @@
         self.engines = engines
         self.follower = follower
         self.metrics = counts
+        self.configuration_poll_s: Callable[[], float] = lambda: 0.0
         self.peers_ahead_since: float | None = None
         self._behind_since: float | None = None
         self._fetches = loops.SingleFlight(counts)
@@ -112,6 +117,12 @@
         )
         if peer_id is None:
             return
+        logs.event(
+            "configuration behind",
+            version=self.configuration.version,
+            peer=peer_id,
+            poll_waited_s=round(self.configuration_poll_s(), 3),
+        )
         fetch_result = await self.peers.fetch_configuration(peer_id)
         if not pipeline.is_successful(fetch_result):
             self.metrics.count("fetch_error", fetch_result.failure().code.name)
--- a/tamarackpier/daemon/entry_peers.py
+++ b/tamarackpier/daemon/entry_peers.py
@@ -180,6 +180,7 @@
         metrics: Counters of this instance.
         clock: Returns the monotonic time, in seconds.
         rng: Source of the random choice of peers.
+        open_channel: Returns a channel to an address.
     """
 
     def __init__(
@@ -195,6 +196,7 @@
         self.metrics = counts
         self.clock = clock
         self.rng = rng
+        self.open_channel: Callable[[str], grpc.aio.Channel] = _open_channel
         self._round_number = rng.randrange(1 << 16)
         self._links: dict[str, _Link] = {}
         self._tasks = tasks.Tasks()
@@ -338,9 +340,7 @@
         now = self.clock()
         link = self._links.get(address)
         if link is None:
-            channel = grpc.aio.insecure_channel(
-                address, options=_CHANNEL_OPTIONS
-            )
+            channel = self.open_channel(address)
             link = _Link(channel, entry_pb2_grpc.EntryStub(channel), now)
             self._links[address] = link
         link.used_at = now
@@ -376,6 +376,10 @@
         roster.refuse(peer_id, self.clock())
 
 
+def _open_channel(address: str) -> grpc.aio.Channel:
+    return grpc.aio.insecure_channel(address, options=_CHANNEL_OPTIONS)
+
+
 def _is_cancelled() -> bool:
     task = asyncio.current_task()
     return task is not None and task.cancelling() > 0
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -322,6 +322,16 @@
             self.followers[1],
             self.metrics,
         )
+        self.catch_up.configuration_poll_s = self.followers[0].waited_s
+        self.entry_service = entry_peers.EntryService(
+            self.statuses,
+            self.configuration,
+            self.engine_rows,
+            lambda: (
+                self.fleet.may_be_stale(self.clock())
+                or self.followers[0].is_lost
+            ),
+        )
 
     def _build_listeners(self) -> None:
         listen = self.settings.listen
@@ -399,16 +409,7 @@
             await listener.listen()
         self.peer_server = carriage.create_server()
         entry_pb2_grpc.add_EntryServicer_to_server(
-            entry_peers.EntryService(
-                self.statuses,
-                self.configuration,
-                self.engine_rows,
-                lambda: (
-                    self.fleet.may_be_stale(self.clock())
-                    or self.followers[0].is_lost
-                ),
-            ),
-            self.peer_server,
+            self.entry_service, self.peer_server
         )
         carriage_pb2_grpc.add_CarriageServicer_to_server(
             self.carriage, self.peer_server
@@ -417,6 +418,15 @@
             self.roster.own_presence.peer_address
         )
         await self.peer_server.start()
+        self.start_tasks()
+        logs.event(
+            "started",
+            callers=self.settings.listen.callers,
+            incarnation=self.roster.own_presence.incarnation,
+        )
+
+    def start_tasks(self) -> None:
+        """Starts the background tasks, which need no listener."""
         for follower in self.followers:
             self._tasks.append(asyncio.ensure_future(follower.run()))
         quarantine_job = loops.PeriodicJob(
@@ -429,11 +439,6 @@
         )
         self._start_registration()
         self._tasks.append(asyncio.ensure_future(self._run_ticks()))
-        logs.event(
-            "started",
-            callers=self.settings.listen.callers,
-            incarnation=self.roster.own_presence.incarnation,
-        )
 
     async def leave(self) -> None:
         """Stops gracefully: directs callers to other instances and drains.
--- a/tamarackpier/daemon/row_cache.py
+++ b/tamarackpier/daemon/row_cache.py
@@ -217,11 +217,21 @@
     def _remove_engine(
         self, engine_id: str, is_logged: bool, now: float
     ) -> None:
-        if engine_id in self.fleet.engines:
-            self.metrics.count("engine_row", "gone")
-            if is_logged:
-                logs.decision("engine row gone", engine=engine_id)
+        is_known = engine_id in self.fleet.engines
         self.fleet.remove(engine_id, now)
+        if not is_known:
+            return
+        self.metrics.count("engine_row", "gone")
+        due_at = self.fleet.pending_removals.get(engine_id)
+        if due_at is not None:
+            self.metrics.count("engine_row", "kept")
+        if is_logged:
+            logs.decision(
+                "engine row gone",
+                engine=engine_id,
+                kept_s=round(due_at - now, 3) if due_at is not None else 0.0,
+                rows_back_by_s=round(self.fleet.rows_back_by - now, 3),
+            )
 
     def _decode(self, row: interfaces.Change) -> model.EngineRecord | None:
         decoded = decode.engine_record(row.key, row.data or b"")
--- a/tamarackpier/daemon/row_source.py
+++ b/tamarackpier/daemon/row_source.py
@@ -175,8 +175,11 @@
     ) -> None:
         self._backoff_until = self.clock() + self._backoff_s
         self._backoff_s = min(_MAX_PEER_BACKOFF_S, 2.0 * self._backoff_s)
-        self._missing_version = None
         reason = "is behind"
+        missing_s = 0.0
+        if self._missing_version is not None:
+            missing_s = self.clock() - self._missing_version[1]
+        self._missing_version = None
         if not pipeline.is_successful(follow_result):
             reason = str(follow_result.failure())[:200]
         self.metrics.count("rows_peer_failed")
@@ -184,6 +187,7 @@
             "rows from the store",
             peer=parent,
             reason=reason,
+            missing_s=round(missing_s, 3),
         )
 
 
--- a/tamarackpier/daemon/store_outages.py
+++ b/tamarackpier/daemon/store_outages.py
@@ -136,6 +136,6 @@
             "poll renewed",
             table=follower.table,
             reason=reason,
-            waited_s=round(self.clock() - (follower.polled_at or 0.0), 3),
+            waited_s=round(follower.waited_s(), 3),
         )
         follower.renew(was_away)
--- a/tamarackpier/daemon/store_watch.py
+++ b/tamarackpier/daemon/store_watch.py
@@ -97,6 +97,12 @@
         self._asks_at_once = True
         self._renewed.set()
 
+    def waited_s(self) -> float:
+        """Returns for how long the call in flight has waited, in seconds."""
+        if self.polled_at is None:
+            return 0.0
+        return self.clock() - self.polled_at
+
     def is_overdue(self, now: float) -> bool:
         """Returns whether a wait for changes is longer than it may now be.
 
--- a/tamarackpier/platform/store.py
+++ b/tamarackpier/platform/store.py
@@ -62,6 +62,7 @@
         session: HTTP session with the connections to the store.
         url: Base URL of the store.
         timeout_s: Time limit of a call, in seconds; long polls have their own.
+        clock: Returns the monotonic time, in seconds.
         calls: Number of calls made so far; the platform charges for each.
         era: Latest era seen; None before the first response.
         on_restored: Called when the store has been restored.
@@ -71,11 +72,16 @@
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, address: str, timeout_s: float
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        timeout_s: float,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.session = session
         self.url = f"http://{address}"
         self.timeout_s = timeout_s
+        self.clock = clock
         self.calls = 0
         self.era: int | None = None
         self.on_restored: Callable[[], None] = lambda: None
@@ -299,7 +305,7 @@
         query: dict[str, str] | None = None,
         body: bytes | None = None,
     ) -> _Response:
-        sent_at = time.monotonic()
+        sent_at = self.clock()
         try:
             response = await self._send(method, path, timeout_s, query, body)
         except (TimeoutError, aiohttp.ClientError):
--- /dev/null
+++ b/tests/fleet_soak.py
@@ -0,0 +1,139 @@
+"""Random outages of the store before whole fleets on a virtual clock.
+
+Checks that what one instance learns is in force at all in time: the
+configuration, revoked keys and engines that left. Run by hand with
+`python -m tests.fleet_soak --count 69 --seeds 0 50`.
+"""
+
+import argparse
+import contextlib
+import dataclasses
+
+from tests import virtual_fleet
+
+# Bounds of deployments by their number of instances, in seconds: the time for
+# a change, and the time after an outage from which it holds.
+BOUNDS = ((50, 2.0, 3.0), (150, 3.0, 4.0), (1000, 4.0, 5.0))
+_SHARES = (0.35, 0.35, 0.7, 1.0)
+_OUTAGES_S = (0.3, 1.0, 2.0, 4.0, 6.0, 9.0)
+_PAUSES_S = (0.0, 0.3, 1.5, 4.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Late:
+    """A change that took effect late.
+
+    Attributes:
+        seed: Seed of the run.
+        outage: The outage before.
+        share: Share of the instances that it met.
+        lasted_s: How long it lasted, in seconds.
+        pause_s: Time from its end to the change, in seconds.
+        change: What changed.
+        lag_s: Time until the last instance had it, in seconds.
+        instances: IDs of some of the instances that were late.
+    """
+
+    seed: int
+    outage: str
+    share: float
+    lasted_s: float
+    pause_s: float
+    change: str
+    lag_s: float
+    instances: tuple[str, ...]
+
+
+def create_fleet(count, seed, engine_count=12):
+    """Returns a settled fleet with the bounds of its size."""
+    _, bound_s, window_s = next(row for row in BOUNDS if count <= row[0])
+    fleet = virtual_fleet.Fleet(count, bound_s, window_s, seed, engine_count)
+    fleet.settle()
+    return fleet
+
+
+def play(count, seed, rounds=6):
+    """Plays random outages, each with changes after it.
+
+    Returns:
+        The changes that took effect late, and the longest lag in seconds.
+    """
+    late = []
+    longest_s = 0.0
+    with contextlib.closing(create_fleet(count, seed, rounds)) as fleet:
+        for index in range(rounds):
+            one = _play_round(fleet, seed, f"o{index}")
+            longest_s = max(longest_s, one.lag_s)
+            if one.lag_s > fleet.bound_s:
+                late.append(one)
+    return late, longest_s
+
+
+def _play_round(fleet, seed, engine):
+    rng = fleet.rng
+    share = rng.choice(_SHARES)
+    outage = rng.choice(virtual_fleet.ALL_OUTAGES)
+    longest_outage_s = rng.choice(_OUTAGES_S)
+    met = fleet.ids(share)
+    fleet.wait(rng.uniform(0.0, 3.0))
+    began_at = fleet.loop.time()
+    fleet.store.begin_outage(met, outage)
+    fleet.wait(longest_outage_s * rng.random())
+    if rng.random() < 0.5:
+        fleet.configure()
+    fleet.wait(longest_outage_s * rng.random())
+    fleet.store.end_outage(met)
+    ended_at = fleet.loop.time()
+    fleet.wait(fleet.stable_window_s + rng.choice(_PAUSES_S))
+    changed_at = fleet.loop.time()
+    change = rng.choice(("leaves", "gone", "configured", "gone, configured"))
+    if change == "leaves":
+        fleet.put_engine(engine, is_leaving=True)
+    if "gone" in change:
+        fleet.drop_engine(engine)
+    if "configured" in change:
+        fleet.configure()
+    name = engine if change != "configured" else ""
+    version = fleet.version
+    lag_s, instances = 0.0, ()
+    while behind := fleet.behind(name, version):
+        lag_s = fleet.loop.time() - changed_at
+        instances = tuple(one.settings.instance.id for one in behind[:6])
+        if lag_s > 30.0:
+            break
+        fleet.wait(0.02)
+    return Late(
+        seed,
+        outage,
+        share,
+        round(ended_at - began_at, 3),
+        round(changed_at - ended_at, 3),
+        change,
+        round(lag_s, 3),
+        instances,
+    )
+
+
+def _main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--count", type=int, default=6)
+    parser.add_argument("--seeds", type=int, nargs=2, default=(0, 10))
+    parser.add_argument("--rounds", type=int, default=6)
+    arguments = parser.parse_args()
+    late_count = 0
+    longest_s = 0.0
+    for seed in range(*arguments.seeds):
+        late, lag_s = play(arguments.count, seed, arguments.rounds)
+        longest_s = max(longest_s, lag_s)
+        late_count += len(late)
+        for one in late:
+            print(one, flush=True)
+    print(
+        f"{arguments.count} instances, seeds {arguments.seeds[0]} to"
+        f" {arguments.seeds[1] - 1}: {late_count} late, longest"
+        f" {longest_s:.2f} s"
+    )
+
+
+if __name__ == "__main__":
+    _main()
