--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -261,6 +261,8 @@
         )
         self.statuses.return_to_tell = self.store_outages.return_to_tell
         self.statuses.on_return = self.store_outages.receive_return
+        self.statuses.service_to_tell = self.store_outages.service_to_tell
+        self.statuses.on_service = self.store_outages.contact.record_service
         self.engine_rows = row_cache.EngineRowCache(
             self.fleet, self._plan_zones, self.metrics, self.clock
         )
--- a/tamarackpier/daemon/peer_status.py
+++ b/tamarackpier/daemon/peer_status.py
@@ -67,6 +67,9 @@
             was none lately.
         on_return: Called with the return of the store that a peer tells of,
             and the peer's ID.
+        service_to_tell: Returns the time in which the store has answered; None
+            if it has not lately.
+        on_service: Called with the one that a peer tells of.
         claims: The last claim of each peer, by ID.
         states: The last state message of each peer, by ID, for forwarding.
         fences: Highest reported fencing number, by zone.
@@ -100,6 +103,12 @@
         self.on_return: Callable[[store_contact.StoreReturn, str], None] = (
             lambda store_return, peer_id: None
         )
+        self.service_to_tell: Callable[
+            [], store_contact.StoreService | None
+        ] = lambda: None
+        self.on_service: Callable[[store_contact.StoreService], None] = (
+            lambda service: None
+        )
         self.claims: dict[str, Claim] = {}
         self.states: dict[str, entry_pb2.EntryState] = {}
         self.fences: dict[str, int] = {}
@@ -204,6 +213,9 @@
             )
             for departure in self.fleet.departures_to_send()
         )
+        service = self.service_to_tell()
+        if service is not None:
+            status.store_service.CopyFrom(_service_to_wire(service, now))
         store_return = self.return_to_tell()
         if store_return is not None:
             status.store_return.CopyFrom(_return_to_wire(store_return, now))
@@ -228,6 +240,8 @@
             status.sender.id, status.sender.incarnation
         )
 
+        if status.HasField("store_service"):
+            self.on_service(_service_from_wire(status.store_service, now))
         if status.HasField("store_return"):
             self.on_return(
                 _return_from_wire(status.store_return, now), status.sender.id
@@ -664,6 +678,28 @@
     )
 
 
+def _service_to_wire(
+    service: store_contact.StoreService, now: float
+) -> entry_pb2.StoreService:
+    return entry_pb2.StoreService(
+        observer=service.observer,
+        count=service.count,
+        since_age_ms=ages.age_ms(service.since, now),
+        age_ms=ages.age_ms(service.at, now),
+    )
+
+
+def _service_from_wire(
+    message: entry_pb2.StoreService, now: float
+) -> store_contact.StoreService:
+    return store_contact.StoreService(
+        message.observer,
+        message.count,
+        ages.local_time(message.since_age_ms, now),
+        ages.local_time(message.age_ms, now),
+    )
+
+
 def _observed_to_wire(
     engine: model.EngineRecord, age_s: float
 ) -> entry_pb2.Observed:
--- a/tamarackpier/daemon/store_contact.py
+++ b/tamarackpier/daemon/store_contact.py
@@ -9,7 +9,11 @@
 import dataclasses
 import math
 
-__all__ = ["StoreContact", "StoreReturn"]
+__all__ = ["StoreContact", "StoreReturn", "StoreService"]
+
+# Longest time between two answers of the store, to whichever instance, in which
+# no engine's row lapses. A fleet makes a call each second.
+_MAX_PAUSE_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,6 +41,39 @@
         return (self.observer, self.count) == (other.observer, other.count)
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreService:
+    """A time in which the store answered some instance without a pause.
+
+    Attributes:
+        observer: Hash of the incarnation of the instance that got the latest
+            answer.
+        count: Number of answers that this instance had got then.
+        since: Time of the first answer, in seconds on the monotonic clock.
+        at: Time of the latest answer, in seconds on the monotonic clock.
+    """
+
+    observer: int
+    count: int
+    since: float
+    at: float
+
+    def is_copy_of(self, other: "StoreService") -> bool:
+        """Returns whether the latest answer of both is the same one."""
+        return (self.observer, self.count) == (other.observer, other.count)
+
+    def joined(self, other: "StoreService") -> "StoreService":
+        """Returns the later of two times, extended by the other if they meet.
+
+        Args:
+            other: Another time, as this or another instance knows it.
+        """
+        earlier, later = sorted((self, other), key=lambda service: service.at)
+        if later.since - earlier.at > _MAX_PAUSE_S:
+            return later
+        return dataclasses.replace(later, since=min(later.since, earlier.since))
+
+
 class StoreContact:
     """When the store last answered, and whether it is away.
 
@@ -47,13 +84,16 @@
         away_since: Send time of the first call that failed since the store
             last answered; None while it answers.
         latest_return: Latest return that this instance or a peer has seen.
+        service: Time in which the store has answered this instance or a peer.
     """
 
     def __init__(self, observer: int = 0) -> None:
         self.observer = observer
         self.away_since: float | None = None
         self.latest_return = StoreReturn(observer, 0, -math.inf, 0.0)
+        self.service = StoreService(observer, 0, -math.inf, -math.inf)
         self._return_count = 0
+        self._answer_count = 0
         self._answered_call_sent_at = -math.inf
         self._failed_call_sent_at = -math.inf
 
@@ -77,6 +117,10 @@
             sent_at: Send time of the call.
             now: Current time.
         """
+        self._answer_count += 1
+        self.service = self.service.joined(
+            StoreService(self.observer, self._answer_count, now, now)
+        )
         self._answered_call_sent_at = max(self._answered_call_sent_at, sent_at)
         if self.away_since is None or sent_at <= self._failed_call_sent_at:
             return False
@@ -103,6 +147,20 @@
         self.away_since = sent_at
         return True
 
+    def record_service(self, service: StoreService) -> None:
+        """Records what a peer knows of the store's answers."""
+        if not service.is_copy_of(self.service):
+            self.service = self.service.joined(service)
+
+    def served_since(self, now: float) -> float:
+        """Returns since when the store has answered some instance.
+
+        Returns infinity if no answer is known that is recent enough.
+        """
+        if now - self.service.at > _MAX_PAUSE_S:
+            return math.inf
+        return self.service.since
+
     def record_return(self, store_return: StoreReturn) -> bool:
         """Records a return that a peer has seen or passed on.
 
--- a/tamarackpier/daemon/store_outages.py
+++ b/tamarackpier/daemon/store_outages.py
@@ -51,6 +51,7 @@
         self.metrics = counts
         self.clock = clock
         self.on_returned: Callable[[], None] = lambda: None
+        fleet.served_since = lambda: contact.served_since(clock())
 
     def record_failure(self, sent_at: float) -> None:
         """Records a call that the store did not serve, by its send time."""
@@ -95,6 +96,11 @@
         latest = self.contact.latest_return
         return latest if self.clock() - latest.at < _TELL_S else None
 
+    def service_to_tell(self) -> store_contact.StoreService | None:
+        """Returns since when the store has answered; None if not lately."""
+        service = self.contact.service
+        return service if self.clock() - service.at < _TELL_S else None
+
     def renew_overdue_polls(self) -> None:
         """Renews polls that wait for longer than this instance may now wait.
 
--- a/tamarackpier/fleet/fleet_view.py
+++ b/tamarackpier/fleet/fleet_view.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from tamarackpier.fleet import departures, model
 from tamarackpier.routing import model as routing_model
@@ -120,10 +120,13 @@
         restored_until: Time until which rows may be those of a copy from which
             the store was restored, in seconds on the monotonic clock.
         departures: Engines that said that they leave, whatever their rows say.
+        served_since: Returns the time since which the store has answered some
+            instance, in seconds on the monotonic clock; infinity if unknown.
     """
 
     def __init__(self, drain_s: float = _DRAIN_S) -> None:
         self.drain_s = drain_s
+        self.served_since: Callable[[], float] = lambda: math.inf
         self.rows_back_by = -math.inf
         self.engines: dict[str, model.EngineRecord] = {}
         self.pending_removals: dict[str, float] = {}
@@ -193,14 +196,14 @@
     def keep_engines_without_row(self, since: float) -> None:
         """Keeps engines whose row lapsed while the store was away.
 
+        An instance may notice late that the store is back, or may have been
+        alone in not reaching it; rows are back since it answered others.
+
         Args:
-            since: Time since which the store is known to answer, in seconds on
-                the monotonic clock.
+            since: Time since which the store is known to answer this instance,
+                in seconds on the monotonic clock.
         """
-        self.rows_back_by = max(
-            self.rows_back_by,
-            since + min(self.drain_s, STORE_RETURN_GRACE_S),
-        )
+        self._keep_until_rows_are_back(min(since, self.served_since()))
 
     def mark_rows_restored(self, now: float) -> None:
         """Records that the store was restored, so that rows may be older.
@@ -209,7 +212,7 @@
         engines write them again.
         """
         self.mark_rows_stale(now)
-        self.keep_engines_without_row(now)
+        self._keep_until_rows_are_back(now)
         self.restored_until = self.rows_fresh_from
         for engine_id, engine in self.engines.items():
             observation = self.observations.setdefault(
@@ -217,6 +220,12 @@
             )
             observation.kept_until = self.rows_fresh_from
 
+    def _keep_until_rows_are_back(self, since: float) -> None:
+        self.rows_back_by = max(
+            self.rows_back_by,
+            since + min(self.drain_s, STORE_RETURN_GRACE_S),
+        )
+
     def may_be_stale(self, now: float) -> bool:
         """Returns whether rows may be stale."""
         return bool(self.store_unreachable_for) or now < self.rows_fresh_from
--- a/tests/recorded_forms.py
+++ b/tests/recorded_forms.py
@@ -26,6 +26,7 @@
 FINGERPRINT = "fingerprint"
 NOW = 100.0
 STORE_RETURN = store_contact.StoreReturn(1, 1, NOW - 1.0, 5.0)
+STORE_SERVICE = store_contact.StoreService(1, 3, NOW - 60.0, NOW - 0.5)
 LEASE_HOLDER = "entry-001/1"
 LEASE_S = 3.0
 
@@ -47,6 +48,7 @@
         ]
     )
     node.statuses.return_to_tell = lambda: STORE_RETURN
+    node.statuses.service_to_tell = lambda: STORE_SERVICE
     node.roster.beat(True, False)
     return node.statuses.build_request()
 
--- a/tests/test_passed_on_state.py
+++ b/tests/test_passed_on_state.py
@@ -1,7 +1,9 @@
 """Tests that what one instance learns takes effect at all in time."""
 
 import contextlib
+import math
 
+from tamarackpier.daemon import store_contact
 from tests import fleet_soak, virtual_fleet
 
 
@@ -44,3 +46,28 @@
 def test_changes_are_in_force_in_time_after_random_outages():
     late, _ = fleet_soak.play(7, 28)
     assert not late, late
+
+
+def test_times_of_service_are_joined_only_where_they_meet():
+    def service(since, at, count=1):
+        return store_contact.StoreService(1, count, since, at)
+
+    for first, second, since in (
+        (service(10.0, 20.0), service(21.0, 22.0), 10.0),
+        (service(10.0, 20.0), service(15.0, 22.0), 10.0),
+        (service(10.0, 20.0), service(5.0, 22.0), 5.0),
+        (service(10.0, 20.0), service(24.0, 25.0), 24.0),
+    ):
+        for one, other in ((first, second), (second, first)):
+            joined = one.joined(other)
+            assert joined.since == since
+            assert joined.at == second.at
+
+
+def test_service_of_the_store_long_ago_tells_nothing():
+    contact = store_contact.StoreContact(1)
+    assert contact.served_since(10.0) == math.inf
+    contact.record_answer(10.0, 10.1)
+    contact.record_service(store_contact.StoreService(2, 5, 3.0, 10.2))
+    assert contact.served_since(11.0) == 3.0
+    assert contact.served_since(14.0) == math.inf
