--- a/tamarackpier/daemon/catch_up.py
+++ b/tamarackpier/daemon/catch_up.py
@@ -10,6 +10,7 @@
     loops,
     peer_status,
     row_cache,
+    row_source,
     store_watch,
 )
 
@@ -39,6 +40,8 @@
         configuration_poll_s: Returns for how long the call for the
             configuration that is in flight has waited, in seconds.
         metrics: Counts fetches and their failures.
+        missing_since: Returns since when a peer has had a change of the engine
+            rows that is missing here; None if none is missing.
         peers_ahead_since: Time since which a live peer has had newer engine
             rows than this instance, in seconds on the monotonic clock; None if
             none has.
@@ -60,6 +63,7 @@
         self.follower = follower
         self.metrics = counts
         self.configuration_poll_s: Callable[[], float] = lambda: 0.0
+        self.missing_since: Callable[[], float | None] = lambda: None
         self.peers_ahead_since: float | None = None
         self._behind_since: float | None = None
         self._fetches = loops.SingleFlight(counts)
@@ -84,6 +88,14 @@
     def _has_lost_call(self, now: float) -> bool:
         """Returns whether the poll in flight is not going to be answered."""
         polled_at = self.follower.polled_at
+        missing_since = self.missing_since()
+        if (
+            missing_since is not None
+            and now - missing_since > row_source.MAX_LAG_S
+            and polled_at is not None
+            and polled_at < missing_since
+        ):
+            return True
         return (
             self.peers_ahead_since is not None
             and now - self.peers_ahead_since > _BEHIND_S
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -273,7 +273,7 @@
             self.roster,
             self._is_planning,
             lambda: self.engine_rows.version,
-            self.statuses.newest_engines_version,
+            self.statuses.newest_engines_change,
             self.metrics,
             self.clock,
         )
@@ -324,7 +324,9 @@
             self.followers[1],
             self.metrics,
         )
+        self.statuses.engines_change = lambda: self.engine_rows.change_version
         self.catch_up.configuration_poll_s = self.followers[0].waited_s
+        self.catch_up.missing_since = self.row_source.missing_since
         self.entry_service = entry_peers.EntryService(
             self.statuses,
             self.configuration,
--- a/tamarackpier/daemon/peer_status.py
+++ b/tamarackpier/daemon/peer_status.py
@@ -35,6 +35,8 @@
     Attributes:
         configuration_version: Version of the configuration in force.
         engines_version: Version up to which it has read engine rows.
+        engines_change: Version of the latest change of an engine row that it
+            has read; `engines_version` for a peer of an earlier build.
         planned_zones: Availability zones that it plans.
         overtime_zones: Subset of `planned_zones` whose lease has lapsed
             because the store does not answer.
@@ -43,6 +45,7 @@
 
     configuration_version: int
     engines_version: int
+    engines_change: int
     planned_zones: tuple[str, ...]
     overtime_zones: tuple[str, ...]
     has_links: bool = True
@@ -59,6 +62,7 @@
         version: Returns the version of the configuration in force.
         engines_version: Returns the store version up to which engine rows
             were read.
+        engines_change: Returns the version of the latest change among them.
         active_zones: Returns the controllers of the availability zones that
             this instance plans.
         clock: Returns the monotonic time, in seconds.
@@ -109,6 +113,7 @@
         self.on_service: Callable[[store_contact.StoreService], None] = (
             lambda service: None
         )
+        self.engines_change: Callable[[], int] = lambda: 0
         self.claims: dict[str, Claim] = {}
         self.states: dict[str, entry_pb2.EntryState] = {}
         self.fences: dict[str, int] = {}
@@ -368,6 +373,14 @@
         peer_id = self.newer_engines_peer(0)
         return self.claims[peer_id].engines_version if peer_id else 0
 
+    def newest_engines_change(self) -> int:
+        """Returns the version of the newest change that a live peer has read.
+
+        Returns 0 if there is none.
+        """
+        peer_id = self._newest_peer(0, lambda claim: claim.engines_change)
+        return self.claims[peer_id].engines_change if peer_id else 0
+
     def _newest_peer(
         self, version: int, version_of: Callable[[Claim], int]
     ) -> str | None:
@@ -391,6 +404,7 @@
             is_leaving=presence.is_leaving,
             configuration_version=self.version(),
             engines_version=self.engines_version(),
+            engines_change=self.engines_change(),
             planned_zones=[controller.zone for controller in controllers],
             overtime_zones=[
                 controller.zone
@@ -481,6 +495,7 @@
         self.claims[peer_id] = Claim(
             state.configuration_version,
             state.engines_version,
+            state.engines_change or state.engines_version,
             tuple(state.planned_zones),
             tuple(state.overtime_zones),
             not state.lacks_links,
--- a/tamarackpier/daemon/row_cache.py
+++ b/tamarackpier/daemon/row_cache.py
@@ -109,6 +109,8 @@
         rows: Encoded rows by engine ID, for peers.
         version: Version of the store up to which rows were read; 0 before the
             first snapshot.
+        change_version: Version of the latest change among them, or of the
+            latest snapshot.
         history: Latest row changes, oldest first, for peers.
     """
 
@@ -127,6 +129,7 @@
         self.is_loaded = False
         self.rows: dict[str, bytes] = {}
         self.version = 0
+        self.change_version = 0
         self.history: collections.deque[interfaces.Change] = collections.deque(
             maxlen=_MAX_HISTORY_LENGTH
         )
@@ -140,6 +143,7 @@
         self.fleet.replace([record for record in records if record], now)
         self.rows = {row.key: row.data for row in changes.rows if row.data}
         self.version = changes.version
+        self.change_version = changes.version
         self.history.clear()
         self._history_start_version = changes.version
         self.is_loaded = True
@@ -156,6 +160,7 @@
             if len(self.history) == _MAX_HISTORY_LENGTH:
                 self._history_start_version = self.history[0].version
             self.history.append(row)
+            self.change_version = max(self.change_version, row.version)
             if row.data is None:
                 self.rows.pop(row.key, None)
             else:
--- a/tamarackpier/daemon/row_source.py
+++ b/tamarackpier/daemon/row_source.py
@@ -15,12 +15,12 @@
 from tamarackpier.peer import partners, roster
 from tamarackpier.platform import interfaces
 
-__all__ = ["RowSource"]
+__all__ = ["MAX_LAG_S", "RowSource"]
 
 _MAX_PEER_WAIT_S = 0.7  # A silent peer goes unnoticed no longer than this.
 # Less than half of the time in which an instance must learn that an engine
 # drains.
-_MAX_LAG_S = 0.8
+MAX_LAG_S = 0.8
 # Age up to which an answer of the followed peer vouches for the configuration;
 # a quiet peer answers after `_MAX_PEER_WAIT_S`.
 _CONFIGURATION_AGE_S = 1.2
@@ -42,7 +42,8 @@
         roster: The known instances.
         is_planning: Returns whether this instance plans a zone.
         own_version: Returns the version up to which this instance has read.
-        newest_version: Returns the newest version that any peer has read.
+        newest_version: Returns the version of the newest change that any peer
+            has read.
         metrics: Counts reads by source.
         on_configuration: Called with an encoded configuration, and the ID of
             the peer that has passed it on.
@@ -95,6 +96,9 @@
         `_MAX_PEER_WAIT_S` if a peer is asked.
         """
         parent = self.parent()
+        if parent is not None and self._is_behind():
+            self._start_backoff(parent, "is behind")
+            parent = None
         if parent is not None:
             follow_result = await self.peers.follow_engines(
                 parent, after, min(wait_s, _MAX_PEER_WAIT_S)
@@ -107,7 +111,10 @@
                 followed = follow_result.unwrap()
                 self._pass_on_configuration(followed, parent)
                 return result.Success(_clamp_version(followed.changes, after))
-            self._start_backoff(parent, follow_result)
+            reason = "is behind"
+            if not pipeline.is_successful(follow_result):
+                reason = str(follow_result.failure())[:200]
+            self._start_backoff(parent, reason)
         self.metrics.count("rows_read", "store")
         self.reads_store = True
         if self.is_reader_of_large_fleet:
@@ -153,9 +160,12 @@
         if followed.configuration:
             self.on_configuration(followed.configuration, parent)
 
-    def _is_behind(self) -> bool:
-        """Returns whether this instance lags behind a peer for too long."""
-        now = self.clock()
+    def missing_since(self) -> float | None:
+        """Returns since when a peer has had a change that is missing here.
+
+        Returns:
+            The time in seconds on the monotonic clock; None if none is missing.
+        """
         if (
             self._missing_version is not None
             and self.own_version() >= self._missing_version[0]
@@ -164,24 +174,21 @@
         if self._missing_version is None:
             newest_version = self.newest_version()
             if newest_version > self.own_version():
-                self._missing_version = (newest_version, now)
-            return False
-        return now - self._missing_version[1] > _MAX_LAG_S
+                self._missing_version = (newest_version, self.clock())
+        return self._missing_version[1] if self._missing_version else None
 
-    def _start_backoff(
-        self,
-        parent: str,
-        follow_result: result.Result[entry_peers.Followed, codes.Fault],
-    ) -> None:
+    def _is_behind(self) -> bool:
+        """Returns whether this instance lags behind a peer for too long."""
+        since = self.missing_since()
+        return since is not None and self.clock() - since > MAX_LAG_S
+
+    def _start_backoff(self, parent: str, reason: str) -> None:
         self._backoff_until = self.clock() + self._backoff_s
         self._backoff_s = min(_MAX_PEER_BACKOFF_S, 2.0 * self._backoff_s)
-        reason = "is behind"
         missing_s = 0.0
         if self._missing_version is not None:
             missing_s = self.clock() - self._missing_version[1]
         self._missing_version = None
-        if not pipeline.is_successful(follow_result):
-            reason = str(follow_result.failure())[:200]
         self.metrics.count("rows_peer_failed")
         logs.event(
             "rows from the store",
--- a/tests/test_passed_on_state.py
+++ b/tests/test_passed_on_state.py
@@ -71,3 +71,14 @@
     contact.record_service(store_contact.StoreService(2, 5, 3.0, 10.2))
     assert contact.served_since(11.0) == 3.0
     assert contact.served_since(14.0) == math.inf
+
+
+def test_a_peer_that_misses_nothing_is_followed_on():
+    """Guards against reads of the store whenever nothing changes."""
+    with contextlib.closing(fleet_soak.create_fleet(6, 1)) as fleet:
+        follower = fleet.instances[5]
+        counts = follower.metrics.counters
+        before = counts.copy()
+        fleet.wait(20.0)
+        assert counts["rows_read:store"] == before["rows_read:store"]
+        assert counts["rows_read:peer"] > before["rows_read:peer"]
