--- a/tamarackpier/daemon/catch_up.py
+++ b/tamarackpier/daemon/catch_up.py
@@ -37,8 +37,7 @@
         configuration: Cache of the configuration; updated.
         engines: Cache of the engine rows; updated.
         follower: Follows the engine rows in the store.
-        configuration_poll_s: Returns for how long the call for the
-            configuration that is in flight has waited, in seconds.
+        configuration_follower: Follows the operators' table in the store.
         metrics: Counts fetches and their failures.
         missing_since: Returns since when a peer has had a change of the engine
             rows that is missing here; None if none is missing.
@@ -54,6 +53,7 @@
         configuration: row_cache.ConfigurationCache,
         engines: row_cache.EngineRowCache,
         follower: store_watch.TableFollower,
+        configuration_follower: store_watch.TableFollower,
         counts: metrics.Metrics,
     ) -> None:
         self.statuses = statuses
@@ -61,8 +61,8 @@
         self.configuration = configuration
         self.engines = engines
         self.follower = follower
+        self.configuration_follower = configuration_follower
         self.metrics = counts
-        self.configuration_poll_s: Callable[[], float] = lambda: 0.0
         self.missing_since: Callable[[], float | None] = lambda: None
         self.peers_ahead_since: float | None = None
         self._behind_since: float | None = None
@@ -78,6 +78,15 @@
         if self._has_lost_call(now):
             self.metrics.count("poll_renewed", "peers are ahead")
             self.follower.renew(was_away=False)
+        if self._has_lost_configuration_call(now):
+            self.metrics.count("poll_renewed", "a peer had the configuration")
+            logs.event(
+                "poll renewed",
+                table=self.configuration_follower.table,
+                reason="a peer had the configuration",
+                waited_s=round(self.configuration_follower.waited_s(), 3),
+            )
+            self.configuration_follower.renew(was_away=False)
 
     def _update_peers_ahead(self, now: float) -> None:
         if self.statuses.newer_engines_peer(self.engines.version) is None:
@@ -103,6 +112,19 @@
             and now - polled_at > _LOST_CALL_S
         )
 
+    def _has_lost_configuration_call(self, now: float) -> bool:
+        """Returns whether a peer had what the poll in flight has missed."""
+        had_at = self._behind_since
+        if had_at is None:
+            had_at = self.configuration.from_peer_at
+        polled_at = self.configuration_follower.polled_at
+        return (
+            had_at is not None
+            and polled_at is not None
+            and polled_at < had_at
+            and now - had_at >= _CONFIGURATION_FETCH_DELAY_S
+        )
+
     def _is_behind(self, now: float) -> bool:
         """Returns whether a peer has had a newer configuration for too long."""
         if (
@@ -133,7 +155,7 @@
             "configuration behind",
             version=self.configuration.version,
             peer=peer_id,
-            poll_waited_s=round(self.configuration_poll_s(), 3),
+            poll_waited_s=round(self.configuration_follower.waited_s(), 3),
         )
         fetch_result = await self.peers.fetch_configuration(peer_id)
         if not pipeline.is_successful(fetch_result):
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -322,10 +322,10 @@
             self.configuration,
             self.engine_rows,
             self.followers[1],
+            self.followers[0],
             self.metrics,
         )
         self.statuses.engines_change = lambda: self.engine_rows.change_version
-        self.catch_up.configuration_poll_s = self.followers[0].waited_s
         self.catch_up.missing_since = self.row_source.missing_since
         self.entry_service = entry_peers.EntryService(
             self.statuses,
--- a/tamarackpier/daemon/row_cache.py
+++ b/tamarackpier/daemon/row_cache.py
@@ -15,6 +15,7 @@
 __all__ = ["ConfigurationCache", "EngineRowCache"]
 
 _MAX_HISTORY_LENGTH = 2000
+_STORE = "store"  # Source of a configuration that no peer has passed on.
 
 
 class ConfigurationCache:
@@ -29,6 +30,8 @@
             first configuration.
         data: The configuration in force as encoded by the operator; empty
             before the first configuration.
+        from_peer_at: Time at which a peer has passed on the configuration in
+            force, in seconds on the monotonic clock; None if the store has.
     """
 
     def __init__(
@@ -44,6 +47,7 @@
         self.clock = clock
         self.routing: table.RoutingTable | None = None
         self.data = b""
+        self.from_peer_at: float | None = None
 
     @property
     def version(self) -> int:
@@ -54,7 +58,7 @@
         """Applies the configuration row of the operators' table, if changed."""
         for row in changes.rows:
             if row.key == wire.Field.CONFIGURATION_KEY and row.data:
-                self.apply(row.data, "store")
+                self.apply(row.data, _STORE)
 
     def apply(self, data: bytes, source: str) -> None:
         """Applies an encoded configuration if it is newer.
@@ -82,6 +86,7 @@
             configuration.version > previous_version,
             lambda: f"{configuration.version} after {previous_version}",
         )
+        self.from_peer_at = None if source == _STORE else self.clock()
         self.routing = table.create_routing(configuration)
         self.data = data
         self.metrics.count("configuration", "in_force")
--- a/tests/test_passed_on_state.py
+++ b/tests/test_passed_on_state.py
@@ -73,6 +73,21 @@
     assert contact.served_since(14.0) == math.inf
 
 
+def test_a_configuration_is_in_force_in_time_where_a_poll_was_lost():
+    """Guards against an old configuration where fetches take too long.
+
+    A store that throttles an instance loses its poll without a failed call.
+    """
+    with contextlib.closing(fleet_soak.create_fleet(6, 1)) as fleet:
+        fleet.is_lost = lambda method, caller_id: method == "FetchConfiguration"
+        fleet.store.begin_outage(["entry-001"], virtual_fleet.Outage.THROTTLES)
+        fleet.wait(0.5)
+        fleet.store.end_outage(["entry-001"])
+        fleet.wait(fleet.stable_window_s)
+        fleet.configure()
+        fleet.until(lambda: not fleet.behind("", fleet.version), fleet.bound_s)
+
+
 def test_a_peer_that_misses_nothing_is_followed_on():
     """Guards against reads of the store whenever nothing changes."""
     with contextlib.closing(fleet_soak.create_fleet(6, 1)) as fleet:
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -380,7 +380,9 @@
     def __init__(self, reader, peer):
         self.reader = reader
         self.peer = peer
-        self.configuration = types.SimpleNamespace(version=1, routing=True)
+        self.configuration = types.SimpleNamespace(
+            version=1, routing=True, from_peer_at=None
+        )
         self.fleet = fleet_view.FleetView()
 
     @property
@@ -404,6 +406,7 @@
             self.configuration,
             self,
             self.reader.follower,
+            exchange_fixtures.table_follower(None, time.monotonic),
             metrics.Metrics(),
         )
         while True:
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -177,8 +177,12 @@
     async def _serve(self, name, request):
         await asyncio.sleep(self.fleet.peer_latency_s())
         target = self.fleet.by_address.get(self.address)
-        if target is None or not self.fleet.has_link(
-            self.caller_id, target.settings.instance.id
+        if (
+            target is None
+            or not self.fleet.has_link(
+                self.caller_id, target.settings.instance.id
+            )
+            or self.fleet.is_lost(name, self.caller_id)
         ):
             await asyncio.sleep(3600.0)
         received = type(request).FromString(request.SerializeToString())
@@ -202,6 +206,8 @@
         stable_window_s: Time after an outage from which that holds.
         peer_latency_s: Returns the time that a message takes, in seconds.
         has_link: Returns whether an instance reaches another, by their IDs.
+        is_lost: Returns whether a call of an instance to a peer is lost, by the
+            name of the method and the instance's ID.
         version: Version of the latest configuration.
         key: API key that the latest configuration holds.
     """
@@ -218,6 +224,7 @@
         self.stable_window_s = stable_window_s
         self.peer_latency_s = lambda: PEER_LATENCY_S
         self.has_link = lambda caller_id, callee_id: True
+        self.is_lost = lambda method, caller_id: False
         self.version = 0
         self.instances = []
         self.configure()
