--- a/tamarackpier/daemon/row_cache.py
+++ b/tamarackpier/daemon/row_cache.py
@@ -157,11 +157,17 @@
         self.on_change()
 
     def apply_changes(self, changes: interfaces.Changes) -> None:
-        """Applies the rows that changed."""
+        """Applies the rows that changed.
+
+        A peer's snapshot may have been newer than what is read next.
+        """
         now = self.clock()
-        self.version = changes.version
         is_logged = self.logs_rows()
+        known_version = self.version
+        self.version = max(known_version, changes.version)
         for row in changes.rows:
+            if row.version <= known_version:
+                continue
             if len(self.history) == _MAX_HISTORY_LENGTH:
                 self._history_start_version = self.history[0].version
             self.history.append(row)
--- a/tests/test_passed_on_state.py
+++ b/tests/test_passed_on_state.py
@@ -3,8 +3,11 @@
 import contextlib
 import math
 
-from tamarackpier.daemon import store_contact
-from tests import fleet_soak, virtual_fleet
+from tamarackpier import metrics
+from tamarackpier.daemon import row_cache, store_contact
+from tamarackpier.fleet import fleet_view
+from tamarackpier.platform import encode, interfaces
+from tests import fleet_soak, hosted_fixtures, virtual_fleet
 
 
 def _cut_from_peer(fleet, instance, until, seconds):
@@ -97,3 +100,22 @@
         fleet.wait(20.0)
         assert counts["rows_read:store"] == before["rows_read:store"]
         assert counts["rows_read:peer"] > before["rows_read:peer"]
+
+
+def test_a_change_older_than_a_peers_snapshot_takes_nothing_back():
+    """Guards against an engine that has left and comes back."""
+    view = fleet_view.FleetView()
+    cache = row_cache.EngineRowCache(
+        view, lambda: None, metrics.Metrics(), lambda: 0.0
+    )
+    leaving = hosted_fixtures.record("e1", is_leaving=True)
+    data = encode.engine_row(leaving)
+    cache.apply_snapshot(
+        interfaces.Changes((interfaces.Change("e1", 9, data),), 9)
+    )
+    older = encode.engine_row(hosted_fixtures.record("e1"))
+    cache.apply_changes(
+        interfaces.Changes((interfaces.Change("e1", 7, older),), 8)
+    )
+    assert view.engines["e1"].is_leaving
+    assert cache.version == 9
