--- a/tamarackpier/daemon/catch_up.py
+++ b/tamarackpier/daemon/catch_up.py
@@ -24,6 +24,8 @@
 # with other tables, so a peer that is ahead proves no change.
 _BEHIND_S = 0.8
 _LOST_CALL_S = 3.0
+# Time without an answer to a question after which a peer is asked.
+_UNANSWERED_S = 0.3
 # Time without the store after which the engine rows are fetched from peers.
 _ENGINES_FETCH_DELAY_S = 0.5
 
@@ -72,7 +74,7 @@
         """Starts the fetches that are due."""
         if self._is_behind(now):
             self._fetches.start("configuration", self._fetch_configuration)
-        if self._is_store_unavailable(now):
+        if self._is_store_unavailable(now) or self._is_left_unanswered(now):
             self._fetches.start("engines", self._fetch_engines)
         self._update_peers_ahead(now)
         if self._has_lost_call(now):
@@ -97,14 +99,8 @@
     def _has_lost_call(self, now: float) -> bool:
         """Returns whether the poll in flight is not going to be answered."""
         polled_at = self.follower.polled_at
-        missing_since = self.missing_since()
-        if (
-            missing_since is not None
-            and now - missing_since > row_source.MAX_LAG_S
-            and polled_at is not None
-            and polled_at < missing_since
-        ):
-            return True
+        if self._lacks_change(now) and self.follower.is_waiting:
+            return polled_at is not None
         return (
             self.peers_ahead_since is not None
             and now - self.peers_ahead_since > _BEHIND_S
@@ -112,6 +108,19 @@
             and now - polled_at > _LOST_CALL_S
         )
 
+    def _lacks_change(self, now: float) -> bool:
+        """Returns whether a change that a peer has is missing for too long."""
+        since = self.missing_since()
+        return since is not None and now - since > row_source.MAX_LAG_S
+
+    def _is_left_unanswered(self, now: float) -> bool:
+        """Returns whether the question for a missing change has no answer."""
+        return (
+            self._lacks_change(now)
+            and not self.follower.is_waiting
+            and self.follower.waited_s() > _UNANSWERED_S
+        )
+
     def _has_lost_configuration_call(self, now: float) -> bool:
         """Returns whether a peer had what the poll in flight has missed."""
         had_at = self._behind_since
@@ -121,6 +130,7 @@
         return (
             had_at is not None
             and polled_at is not None
+            and self.configuration_follower.is_waiting
             and polled_at < had_at
             and now - had_at >= _CONFIGURATION_FETCH_DELAY_S
         )
--- a/tamarackpier/daemon/row_source.py
+++ b/tamarackpier/daemon/row_source.py
@@ -188,7 +188,6 @@
         missing_s = 0.0
         if self._missing_version is not None:
             missing_s = self.clock() - self._missing_version[1]
-        self._missing_version = None
         self.metrics.count("rows_peer_failed")
         logs.event(
             "rows from the store",
--- a/tamarackpier/daemon/store_watch.py
+++ b/tamarackpier/daemon/store_watch.py
@@ -50,6 +50,8 @@
         max_wait_s: Returns the longest wait for a change, in seconds.
         polled_at: Time at which the call in flight was sent; None if there is
             none.
+        is_waiting: Whether that call waits for a change. One that doesn't is
+            answered or fails soon.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         self.is_covered: Callable[[], bool] = lambda: False
         self.max_wait_s: Callable[[], float] = lambda: MAX_WAIT_S
         self.polled_at: float | None = None
+        self.is_waiting = False
         self.is_lost = False
         self.read_at = clock()
         self._last_version: int | None = None
@@ -158,6 +161,7 @@
         if self.is_lost or self._asks_at_once:
             wait_s = 0.0
         self._asks_at_once = False
+        self.is_waiting = wait_s > 0.0
         if self._last_version is None:
             read = self.watch.snapshot(self.table)
         else:
--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -9,6 +9,9 @@
 import contextlib
 import dataclasses
 
+from tamarackpier import quarantine
+from tamarackpier.fleet import departures
+from tamarackpier.traffic import rate_limits
 from tests import virtual_fleet
 
 # Bounds of deployments by their number of instances, in seconds: the time for
@@ -69,6 +72,49 @@
     return late, longest_s
 
 
+def spread_lags(fleet, outage, share=1.0 / 3.0):
+    """Returns after how many seconds all instances know what one has learned.
+
+    Meanwhile a share of the instances can't reach the store.
+
+    Args:
+        fleet: A settled fleet with engines o0 and o1.
+        outage: The outage that the share meets.
+        share: Share of the instances that it meets.
+
+    Returns:
+        The lags in seconds by what was learned.
+    """
+    met = fleet.ids(share)
+    fleet.store.begin_outage(met, outage)
+    fleet.wait(fleet.rng.uniform(1.0, 6.0))
+    now = fleet.loop.time()
+    sources = fleet.rng.sample(fleet.instances, 3)
+    sources[0].relay.record_departure(departures.Departure("o0", 1), "test")
+    sources[1].relay.limits.record(rate_limits.Limit("o1", 1, 2.5, now))
+    deaths = [quarantine.Crash("f", f"x{n}@1", now) for n in range(3)]
+    sources[2].relay.quarantine.add(deaths)
+    fleet.configure()
+    fleet.put_engine("new")
+    known_by = {
+        "departure": lambda one: one.fleet.engines["o0"].is_leaving,
+        "limit": lambda one: "o1" in one.relay.limits.shares,
+        "suspect": lambda one: "f" in one.relay.quarantine.crashes,
+        "configuration and keys": lambda one: (
+            one.configuration.version >= fleet.version
+        ),
+        "rows": lambda one: "new" in one.fleet.engines,
+    }
+    lags = {}
+    while len(lags) < len(known_by) and fleet.loop.time() - now < 30.0:
+        for kind, knows in known_by.items():
+            if kind not in lags and all(map(knows, fleet.instances)):
+                lags[kind] = round(fleet.loop.time() - now, 2)
+        fleet.wait(0.02)
+    fleet.store.end_outage(met)
+    return {kind: lags.get(kind, float("inf")) for kind in known_by}
+
+
 def _play_round(fleet, seed, engine):
     rng = fleet.rng
     share = rng.choice(_SHARES)
@@ -119,7 +165,27 @@
     parser.add_argument("--count", type=int, default=6)
     parser.add_argument("--seeds", type=int, nargs=2, default=(0, 10))
     parser.add_argument("--rounds", type=int, default=6)
+    parser.add_argument(
+        "--spread",
+        action="store_true",
+        help="measure how long what is learned takes to all instances, while"
+        " a third of them can't reach the store",
+    )
     arguments = parser.parse_args()
+    if arguments.spread:
+        for seed in range(*arguments.seeds):
+            for outage in virtual_fleet.ALL_OUTAGES:
+                with contextlib.closing(
+                    create_fleet(arguments.count, seed)
+                ) as fleet:
+                    print(
+                        arguments.count,
+                        seed,
+                        outage,
+                        spread_lags(fleet, outage),
+                        flush=True,
+                    )
+        return
     late_count = 0
     longest_s = 0.0
     for seed in range(*arguments.seeds):
--- a/tests/test_passed_on_state.py
+++ b/tests/test_passed_on_state.py
@@ -102,6 +102,13 @@
         assert counts["rows_read:peer"] > before["rows_read:peer"]
 
 
+def test_what_is_learned_reaches_instances_that_a_silent_store_leaves_out():
+    """Guards against rows that wait for the limits of several calls."""
+    with contextlib.closing(fleet_soak.create_fleet(6, 2)) as fleet:
+        lags = fleet_soak.spread_lags(fleet, virtual_fleet.Outage.SILENT)
+        assert max(lags.values()) <= fleet.bound_s, lags
+
+
 def test_a_change_older_than_a_peers_snapshot_takes_nothing_back():
     """Guards against an engine that has left and comes back."""
     view = fleet_view.FleetView()
