--- a/tamarackpier/daemon/store_contact.py
+++ b/tamarackpier/daemon/store_contact.py
@@ -12,7 +12,7 @@
 __all__ = ["StoreContact", "StoreReturn", "StoreService"]
 
 # Longest time between two answers of the store, to whichever instance, in which
-# no engine's row lapses. A fleet makes a call each second.
+# no engine's row lapses.
 _MAX_PAUSE_S = 1.5
 
 
