Log which rows an attempt went by, and that an engine without a row is kept

A request reached an engine 2.24 s after it had left, and the log of the instance that sent it can't tell whether its rows were old or the engine was kept as one whose row lapsed: instances that follow a peer don't log rows. The line of an attempt has the version and the source of the rows now, and for how long an engine without a row is still kept.

--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -281,7 +281,11 @@
         self.engine_rows = row_cache.EngineRowCache(
             self.fleet, self._plan_zones, self.metrics, self.clock
         )
-        self.relay.rows_read_at = lambda: self.followers[1].read_at
+        self.relay.rows_read = lambda: model.RowsRead(
+            self.followers[1].read_at,
+            self.engine_rows.version,
+            self.row_source.source,
+        )
         self.row_source = row_source.RowSource(
             self.rows,
             self.peers,
--- a/tamarackpier/daemon/row_source.py
+++ b/tamarackpier/daemon/row_source.py
@@ -15,7 +15,9 @@
 from tamarackpier.peer import partners, roster
 from tamarackpier.platform import interfaces
 
-__all__ = ["MAX_LAG_S", "RowSource"]
+__all__ = ["MAX_LAG_S", "STORE", "RowSource"]
+
+STORE = "store"  # Source of rows that no peer has passed on.
 
 _MAX_PEER_WAIT_S = 0.7  # A silent peer goes unnoticed no longer than this.
 # Less than half of the time in which an instance must learn that an engine
@@ -47,7 +49,7 @@
         metrics: Counts reads by source.
         on_configuration: Called with an encoded configuration, and the ID of
             the peer that has passed it on.
-        reads_store: Whether the last read was one of the store.
+        source: Source of the last read: `STORE`, or the ID of a peer.
     """
 
     def __init__(
@@ -72,7 +74,7 @@
         self.on_configuration: Callable[[bytes, str], None] = (
             lambda data, peer_id: None
         )
-        self.reads_store = True
+        self.source = STORE
         self._backoff_until = 0.0
         self._backoff_s = _MIN_PEER_BACKOFF_S
         self._configuration_passed_at = -math.inf
@@ -107,7 +109,7 @@
             if pipeline.is_successful(follow_result) and is_current:
                 self._backoff_s = _MIN_PEER_BACKOFF_S
                 self.metrics.count("rows_read", "peer")
-                self.reads_store = False
+                self.source = parent
                 followed = follow_result.unwrap()
                 self._pass_on_configuration(followed, parent)
                 return result.Success(_clamp_version(followed.changes, after))
@@ -116,11 +118,16 @@
                 reason = str(follow_result.failure())[:200]
             self._start_backoff(parent, reason)
         self.metrics.count("rows_read", "store")
-        self.reads_store = True
+        self.source = STORE
         if self.is_reader_of_large_fleet:
             wait_s = min(wait_s, _READER_WAIT_S)
         return await self.store.changes(table, after, wait_s)
 
+    @property
+    def reads_store(self) -> bool:
+        """Whether the last read was one of the store."""
+        return self.source == STORE
+
     def parent(self) -> str | None:
         """Returns the ID of the peer to follow; None to read the store."""
         now = self.clock()
--- a/tamarackpier/fleet/model.py
+++ b/tamarackpier/fleet/model.py
@@ -13,6 +13,7 @@
     "OrderKind",
     "OrderOutcome",
     "Replica",
+    "RowsRead",
 ]
 
 
@@ -244,6 +245,21 @@
     members: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class RowsRead:
+    """What an instance has read of the engines' rows.
+
+    Attributes:
+        at: Time of the last answer, in seconds on the monotonic clock.
+        version: Version of the store up to which rows were read.
+        source: The store, or the ID of the peer that passed them on.
+    """
+
+    at: float
+    version: int
+    source: str
+
+
 class OrderOutcome(enum.Enum):
     """Outcome of an order.
 
--- a/tamarackpier/traffic/relay.py
+++ b/tamarackpier/traffic/relay.py
@@ -129,8 +129,7 @@
         waits: Engines that want nothing from this instance for a while.
         budgets: Retry budgets by service.
         invariants: Checks of conditions that must always hold.
-        rows_read_at: Returns the time at which the engines' rows were last
-            read, in seconds on the relay's clock.
+        rows_read: Returns what was read of the engines' rows, for the log.
         answer_memory: Counts the bytes of the answers that are being read.
         knows_suspects: Returns whether it is known which requests crash
             upstreams; until then none is admitted.
@@ -206,7 +205,8 @@
         self.budgets: dict[str, budget.RetryBudget] = {}
         self.answer_memory = answer_memory.AnswerMemory(_MAX_ANSWER_BYTES)
         self.invariants = invariants.Invariants()
-        self.rows_read_at: Callable[[], float] = clock
+        self.rows_read: Callable[[], fleet_model.RowsRead]
+        self.rows_read = lambda: fleet_model.RowsRead(clock(), 0, "")
         self.knows_suspects: Callable[[], bool] = lambda: True
         self.is_doubted: Callable[[fleet_model.ReplicaKey], bool]
         self.is_doubted = lambda key: False
--- a/tamarackpier/traffic/relay_logs.py
+++ b/tamarackpier/traffic/relay_logs.py
@@ -14,7 +14,13 @@
     candidate: selection.Candidate,
     last_event_id: str,
 ) -> None:
-    """Logs an attempt with the values that decided the selection."""
+    """Logs an attempt with the values that decided the selection.
+
+    An engine without a row is kept for a while where the row may have lapsed.
+    """
+    now = relay.clock()
+    rows = relay.rows_read()
+    due_at = relay.fleet.pending_removals.get(candidate.engine.id)
     logs.decision(
         "sent",
         request=run.request.id,
@@ -26,8 +32,11 @@
         running=candidate.usage.running,
         after=last_event_id,
         version=run.version,
-        rows_age_s=round(relay.clock() - relay.rows_read_at(), 3),
-        left_s=round(run.ends_at - relay.clock(), 3),
+        rows_age_s=round(now - rows.at, 3),
+        rows_version=rows.version,
+        rows_source=rows.source,
+        left_s=round(run.ends_at - now, 3),
+        **({"kept_s": round(due_at - now, 3)} if due_at is not None else {}),
         **({"admission": run.admission} if run.admission else {}),
     )
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,10 +4,11 @@
 import dataclasses
 import random
 import time
+from unittest import mock
 
 from returns import pipeline
 
-from tamarackpier import codes, quarantine
+from tamarackpier import codes, logs, quarantine
 from tamarackpier.daemon import probing
 from tamarackpier.fleet import model as fleet_model
 from tamarackpier.platform import engines, wire
@@ -61,6 +62,40 @@
     _run(check)
 
 
+def test_a_log_line_of_an_attempt_says_what_was_known_of_the_engine_s_row():
+    async def check():
+        async with (
+            rough_engine.serve_script(_answer_ok) as (address, _),
+            relay_fixtures.serve_relay(
+                [relay_fixtures.plain_engine("o1", address)]
+            ) as request_relay,
+        ):
+            now = request_relay.clock()
+            request_relay.rows_read = lambda: fleet_model.RowsRead(
+                now, 7, "entry-2"
+            )
+            lines = []
+            for is_kept in (False, True):
+                if is_kept:
+                    request_relay.fleet.keep_engines_without_row(now)
+                    request_relay.fleet.remove("o1", now)
+                with mock.patch.object(logs, "decision") as decision:
+                    await request_relay.handle(
+                        relay_fixtures.request("/order/1"),
+                        relay_fixtures.RecordingCaller(b"order"),
+                    )
+                lines += [
+                    call.kwargs
+                    for call in decision.call_args_list
+                    if call.args[0] == "sent"
+                ]
+        assert [line["rows_version"] for line in lines] == [7, 7]
+        assert [line["rows_source"] for line in lines] == ["entry-2"] * 2
+        assert ["kept_s" in line for line in lines] == [False, True]
+
+    _run(check)
+
+
 def test_an_order_whose_answer_is_lost_is_not_retried():
     async def lose(arrival):
         arrival.reset()
