--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -3,7 +3,7 @@
 Checks that what one instance learns is in force at all in time: the
 configuration, revoked keys, engines that left and evacuated zones. Run by hand
 with `python -m tests.fleet_soak --count 69 --seeds 0 50`; `--evacuate` plays
-evacuations instead.
+evacuations instead, `--spread` measures how long each kind of news takes.
 """
 
 import argparse
@@ -19,6 +19,7 @@
 # a change, and the time after an outage from which it holds.
 BOUNDS = ((50, 2.0, 3.0), (150, 3.0, 4.0), (1000, 4.0, 5.0))
 EVACUATE_S = 5.0
+SPREAD_OUTAGES = (*virtual_fleet.ALL_OUTAGES, virtual_fleet.Outage.SLOW)
 # Time by which an evacuation may take longer while the store is unstable.
 STRETCH_S = 6.0
 # Time after the start in which a new instance must be ready, in seconds.
@@ -83,10 +84,11 @@
 def spread_lags(fleet, outage, share=1.0 / 3.0):
     """Returns after how many seconds all instances know what one has learned.
 
-    Meanwhile a share of the instances can't reach the store.
+    Meanwhile a share of the instances can't reach the store. Where zones can
+    be evacuated, one is.
 
     Args:
-        fleet: A settled fleet with engines o0 and o1.
+        fleet: A settled fleet with engines o0 to o3.
         outage: The outage that the share meets.
         share: Share of the instances that it meets.
 
@@ -104,6 +106,8 @@
     sources[2].relay.quarantine.add(deaths)
     fleet.configure()
     fleet.put_engine("new")
+    fleet.drop_engine("o2")
+    fleet.put_engine("o3", is_leaving=True)
     known_by = {
         "departure": lambda one: one.fleet.engines["o0"].is_leaving,
         "limit": lambda one: "o1" in one.relay.limits.shares,
@@ -112,7 +116,14 @@
             one.configuration.version >= fleet.version
         ),
         "rows": lambda one: "new" in one.fleet.engines,
+        "removed row": lambda one: "o2" not in one.fleet.engines,
+        "leaving row": lambda one: one.fleet.engines["o3"].is_leaving,
     }
+    if fleet.evacuate_s:
+        fleet.evacuate("zone-2")
+        known_by["evacuation"] = lambda one: (
+            "zone-2" in one.fleet.evacuations.zones()
+        )
     lags = {}
     while len(lags) < len(known_by) and fleet.loop.time() - now < 30.0:
         for kind, knows in known_by.items():
@@ -261,6 +272,17 @@
     )
 
 
+def _print_spread(count, seed, evacuate_s):
+    """Prints the lags for each kind of outage of a third of the instances."""
+    for outage in SPREAD_OUTAGES:
+        with contextlib.closing(
+            create_fleet(count, seed, evacuate_s=evacuate_s)
+        ) as fleet:
+            lags = spread_lags(fleet, outage)
+            late = max(lags.values()) > fleet.bound_s
+            print(count, seed, outage, "LATE" if late else "", lags, flush=True)
+
+
 def _main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--count", type=int, default=6)
@@ -276,26 +298,17 @@
         "--evacuate", action="store_true", help="evacuate and return zones"
     )
     arguments = parser.parse_args()
+    if arguments.spread:
+        evacuate_s = EVACUATE_S if arguments.evacuate else 0.0
+        for seed in range(*arguments.seeds):
+            _print_spread(arguments.count, seed, evacuate_s)
+        return
     if arguments.evacuate:
         for seed in range(*arguments.seeds):
             lags = play_evacuations(arguments.count, seed)
             late = late_evacuations(lags)
             print(arguments.count, seed, "late:", late, lags, flush=True)
         return
-    if arguments.spread:
-        for seed in range(*arguments.seeds):
-            for outage in virtual_fleet.ALL_OUTAGES:
-                with contextlib.closing(
-                    create_fleet(arguments.count, seed)
-                ) as fleet:
-                    print(
-                        arguments.count,
-                        seed,
-                        outage,
-                        spread_lags(fleet, outage),
-                        flush=True,
-                    )
-        return
     late_count = 0
     longest_s = 0.0
     for seed in range(*arguments.seeds):
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -30,6 +30,8 @@
     REFUSES = "refuses"
     THROTTLES = "throttles"
     RESETS = "resets"
+    # Serves, but each answer takes longer.
+    SLOW = "slow"
 
 
 ALL_OUTAGES = (
@@ -38,6 +40,7 @@
     Outage.THROTTLES,
     Outage.RESETS,
 )
+SLOW_FACTOR = 50.0
 
 
 class VirtualStore(hosted_platform.RowStoreStandin):
@@ -60,8 +63,9 @@
         """Makes the store unavailable to some instances."""
         for instance_id in instance_ids:
             self.outages[instance_id] = outage
-            count = self._outage_counts.get(instance_id, 0)
-            self._outage_counts[instance_id] = count + 1
+            if outage != Outage.SLOW:
+                count = self._outage_counts.get(instance_id, 0)
+                self._outage_counts[instance_id] = count + 1
 
     def end_outage(self, instance_ids):
         """Makes the store available to some instances again."""
@@ -86,6 +90,8 @@
                 return 429, {}
             if outage == Outage.SILENT:
                 await asyncio.sleep(2.0 * timeout_s)
+            if outage == Outage.SLOW:
+                await asyncio.sleep((SLOW_FACTOR - 1.0) * self.latency_s)
             if path == wire.Path.ROWS_CHANGE:
                 return self._apply_change(body)
             if path == wire.Path.ROWS_GET:
