Rows that an instance without the store learns late: a failing test

Such an instance hears of the change in an exchange (0.25 s), notes at the next round that it lacks it (0.25 s), waits for 0.8 s, renews its poll at a round (0.25 s), waits for an answer (0.3 s) and fetches the rows at the next round.

--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -22,6 +22,8 @@
 SPREAD_OUTAGES = (*virtual_fleet.ALL_OUTAGES, virtual_fleet.Outage.SLOW)
 # Time by which an evacuation may take longer while the store is unstable.
 STRETCH_S = 6.0
+# Time until a fleet works at a new speed, in seconds.
+_SLOWED_S = 3.0
 # Time after the start in which a new instance must be ready, in seconds.
 _NEW_READY_S = 10.0
 _SHARES = (0.35, 0.35, 0.7, 1.0)
@@ -81,6 +83,18 @@
     return late, longest_s
 
 
+def slow_down(fleet, mean_s):
+    """Lets messages and the store's answers take longer.
+
+    Args:
+        fleet: A settled fleet.
+        mean_s: Mean time of each, in seconds.
+    """
+    fleet.peer_latency_s = lambda: fleet.rng.expovariate(1.0 / mean_s)
+    fleet.store.latency_s = mean_s
+    fleet.wait(_SLOWED_S)
+
+
 def spread_lags(fleet, outage, share=1.0 / 3.0):
     """Returns after how many seconds all instances know what one has learned.
 
@@ -272,12 +286,14 @@
     )
 
 
-def _print_spread(count, seed, evacuate_s):
+def _print_spread(count, seed, evacuate_s, latency_s):
     """Prints the lags for each kind of outage of a third of the instances."""
     for outage in SPREAD_OUTAGES:
         with contextlib.closing(
             create_fleet(count, seed, evacuate_s=evacuate_s)
         ) as fleet:
+            if latency_s:
+                slow_down(fleet, latency_s)
             lags = spread_lags(fleet, outage)
             late = max(lags.values()) > fleet.bound_s
             print(count, seed, outage, "LATE" if late else "", lags, flush=True)
@@ -297,11 +313,18 @@
     parser.add_argument(
         "--evacuate", action="store_true", help="evacuate and return zones"
     )
+    parser.add_argument(
+        "--latency",
+        type=float,
+        default=0.0,
+        help="with --spread: mean time of a message and of an answer of the"
+        " store, in seconds",
+    )
     arguments = parser.parse_args()
     if arguments.spread:
         evacuate_s = EVACUATE_S if arguments.evacuate else 0.0
         for seed in range(*arguments.seeds):
-            _print_spread(arguments.count, seed, evacuate_s)
+            _print_spread(arguments.count, seed, evacuate_s, arguments.latency)
         return
     if arguments.evacuate:
         for seed in range(*arguments.seeds):
--- a/tests/test_passed_on_state.py
+++ b/tests/test_passed_on_state.py
@@ -110,6 +110,15 @@
         assert max(lags.values()) <= fleet.bound_s, lags
 
 
+def test_news_reaches_instances_without_the_store_in_time_if_all_is_slow():
+    """Guards against engines left late by the sum of the waits of a chain."""
+    for count, seed in ((6, 33), (7, 39), (7, 53), (8, 12)):
+        with contextlib.closing(fleet_soak.create_fleet(count, seed)) as fleet:
+            fleet_soak.slow_down(fleet, 0.08)
+            lags = fleet_soak.spread_lags(fleet, virtual_fleet.Outage.SILENT)
+            assert max(lags.values()) <= fleet.bound_s, (count, seed, lags)
+
+
 def test_a_change_older_than_a_peers_snapshot_takes_nothing_back():
     """Guards against an engine that has left and comes back."""
     view = fleet_view.FleetView()
