What is missing is noted when it is heard of, and fetched without waiting for rounds

Callers saw a request reach an engine 2.24 s after it had left. That record isn't reproduced, but an instance that the store leaves unanswered learned of a leaving engine up to 2.18 s late: it noted at a round of messages that it lacked a change, waited for 0.8 s as if a peer had to pass the change on, and each further step waited for the next round.

A message that says that a peer has more is noted when it arrives, and the checks that follow have their own time, 0.1 s apart. An instance that reads the store itself asks again after 0.3 s, as for the configuration; one that knows that the store is away fetches the rows from a peer at once.

--- a/tamarackpier/daemon/catch_up.py
+++ b/tamarackpier/daemon/catch_up.py
@@ -1,5 +1,6 @@
 """Fetches from peers what this instance cannot read from the store."""
 
+import math
 from collections.abc import Callable
 
 from returns import pipeline
@@ -24,8 +25,14 @@
 # with other tables, so a peer that is ahead proves no change.
 _BEHIND_S = 0.8
 _LOST_CALL_S = 3.0
+# The same for a change that the store delivers, usually within 50 ms.
+_READER_LAG_S = 0.3
 # Time without an answer to a question after which a peer is asked.
 _UNANSWERED_S = 0.3
+# Time between two checks while something is missing.
+_CHECK_S = 0.1
+# Time between two fetches of all rows.
+_ENGINES_FETCH_INTERVAL_S = 0.25
 # Time without the store after which the engine rows are fetched from peers.
 _ENGINES_FETCH_DELAY_S = 0.5
 
@@ -43,6 +50,12 @@
         metrics: Counts fetches and their failures.
         missing_since: Returns since when a peer has had a change of the engine
             rows that is missing here; None if none is missing.
+        reads_store: Returns whether the rows are read from the store and not
+            from a peer.
+        is_store_away: Returns whether the store has left a call unanswered
+            since it last answered one.
+        due_at: Time of the next check, in seconds on the monotonic clock;
+            infinity while nothing is missing.
         peers_ahead_since: Time since which a live peer has had newer engine
             rows than this instance, in seconds on the monotonic clock; None if
             none has.
@@ -66,15 +79,28 @@
         self.configuration_follower = configuration_follower
         self.metrics = counts
         self.missing_since: Callable[[], float | None] = lambda: None
+        self.reads_store: Callable[[], bool] = lambda: False
+        self.is_store_away: Callable[[], bool] = lambda: False
+        self.due_at = math.inf
         self.peers_ahead_since: float | None = None
+        self._engines_fetched_at = -math.inf
         self._behind_since: float | None = None
         self._fetches = loops.SingleFlight(counts)
 
+    def note_news(self, now: float) -> None:
+        """Notes that a peer has something newer, and when to act on it."""
+        self._is_behind(now)
+        self.due_at = min(self.due_at, self._next_due_at(now))
+
     def tick(self, now: float) -> None:
         """Starts the fetches that are due."""
         if self._is_behind(now):
             self._fetches.start("configuration", self._fetch_configuration)
-        if self._is_store_unavailable(now) or self._is_left_unanswered(now):
+        if (
+            now - self._engines_fetched_at >= _ENGINES_FETCH_INTERVAL_S
+            and self._needs_engines(now)
+        ):
+            self._engines_fetched_at = now
             self._fetches.start("engines", self._fetch_engines)
         self._update_peers_ahead(now)
         if self._has_lost_call(now):
@@ -89,6 +115,23 @@
                 waited_s=round(self.configuration_follower.waited_s(), 3),
             )
             self.configuration_follower.renew(was_away=False)
+        self.due_at = self._next_due_at(now)
+
+    def _next_due_at(self, now: float) -> float:
+        """Returns the time of the next check; infinity if nothing is missing.
+
+        Checks follow one another closely, since what a check starts may fail
+        and the times of all that is waited for add up.
+        """
+        due_at = math.inf
+        since = self.missing_since()
+        if since is not None:
+            due_at = since + self._lag_limit_s()
+        if self._behind_since is not None:
+            due_at = min(
+                due_at, self._behind_since + _CONFIGURATION_FETCH_DELAY_S
+            )
+        return due_at if due_at > now else now + _CHECK_S
 
     def _update_peers_ahead(self, now: float) -> None:
         if self.statuses.newer_engines_peer(self.engines.version) is None:
@@ -111,7 +154,25 @@
     def _lacks_change(self, now: float) -> bool:
         """Returns whether a change that a peer has is missing for too long."""
         since = self.missing_since()
-        return since is not None and now - since > row_source.MAX_LAG_S
+        return since is not None and now - since >= self._lag_limit_s()
+
+    def _lag_limit_s(self) -> float:
+        """Returns for how long a change that a peer has may be missing here."""
+        if not self.reads_store():
+            return row_source.MAX_LAG_S
+        return 0.0 if self.is_store_away() else _READER_LAG_S
+
+    def _needs_engines(self, now: float) -> bool:
+        """Returns whether the engine rows have to come from a peer."""
+        return (
+            self._is_store_unavailable(now)
+            or self._is_left_unanswered(now)
+            or (
+                self.reads_store()
+                and self.is_store_away()
+                and self._lacks_change(now)
+            )
+        )
 
     def _is_left_unanswered(self, now: float) -> bool:
         """Returns whether the question for a missing change has no answer."""
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -351,6 +351,11 @@
         )
         self.statuses.engines_change = lambda: self.engine_rows.change_version
         self.catch_up.missing_since = self.row_source.missing_since
+        self.catch_up.reads_store = lambda: self.row_source.reads_store
+        self.catch_up.is_store_away = lambda: (
+            self.store_outages.contact.away_since is not None
+        )
+        self.statuses.on_news = lambda: self.catch_up.note_news(self.clock())
         self.entry_service = entry_peers.EntryService(
             self.statuses,
             self.configuration,
@@ -673,6 +678,8 @@
         expired = self.fleet.expire(now)
         if expired:
             logs.event("engines gone", engines=expired)
+        if now >= self.catch_up.due_at:
+            self.catch_up.tick(now)
         if now >= self._next_plan_at:
             self._next_plan_at = now + _PLAN_PERIOD_S
             self.crash_checker.tick()
