The largest request that the configuration allows is served when it is alone

Requests above three quarters of what callers' connections may hold together (33 MB of an instance with 200 MB) were refused as they arrived, always, also in calm: a configuration may allow bodies of 28 MB, and each was answered with 503. The limit follows the configuration in force now, up to a quarter of the memory; beyond, an event says that the largest requests are refused. With bodies of 4 MiB, as all known deployments have, nothing changes.

The stand-in of the platform takes large bodies, too.

--- a/tamarackpier/daemon/caller_memory.py
+++ b/tamarackpier/daemon/caller_memory.py
@@ -6,12 +6,19 @@
 ends, and answers that were not sent.
 """
 
+import math
 import resource
 from typing import Protocol
 
-from tamarackpier import metrics
+from tamarackpier import logs, metrics
 
-__all__ = ["CallerMemory", "Holder", "max_bytes", "max_connections"]
+__all__ = [
+    "CallerMemory",
+    "Holder",
+    "max_bytes",
+    "max_connections",
+    "most_bytes",
+]
 
 # Memory of the smallest instances, which is assumed where it is not known.
 _LEAST_MEMORY_MB = 200
@@ -23,6 +30,8 @@
 # that a quarter is left for small ones.
 _LARGE_REFUSED_FROM = 0.75
 _LARGE_SHARE = 1 / 64
+# The limit is raised up to this share of the memory for large requests.
+_MOST_SHARE = 1 / 4
 # A connection with a request takes up 19 KB, an idle one 7 KB, as measured with
 # 1,500 of them.
 _CONNECTION_BYTES = 16_000
@@ -43,6 +52,11 @@
     return int((memory_mb or _LEAST_MEMORY_MB) * _BYTES_PER_MB * share)
 
 
+def most_bytes(memory_mb: int) -> int:
+    """Returns up to which the limit may be raised for large requests."""
+    return max_bytes(memory_mb, _MOST_SHARE)
+
+
 def max_connections(divisor: int = 2, memory_mb: int = 0) -> int:
     """Returns how many connections a listener may have.
 
@@ -62,6 +76,8 @@
 
     Attributes:
         max_bytes: Limit of all together.
+        least_bytes: The limit unless requests may be large beside it.
+        most_bytes: Largest limit.
         metrics: Counters of what limits did; None to count nothing.
         total: Bytes that all hold.
         sizes: Bytes that each holds; those that hold nothing are left out.
@@ -71,12 +87,38 @@
         self,
         max_bytes: int,
         counts: metrics.Metrics | None = None,
+        most_bytes: int = 0,
     ) -> None:
         self.max_bytes = max_bytes
+        self.least_bytes = max_bytes
+        self.most_bytes = max(max_bytes, most_bytes)
         self.metrics = counts
+        self._request_bytes = 0
         self.total = 0
         self.sizes: dict[Holder, int] = {}
 
+    def fit(self, request_bytes: int) -> None:
+        """Fits the limit to the largest request, which is served if alone.
+
+        Args:
+            request_bytes: Bytes that the largest request that is allowed
+                makes a connection hold.
+        """
+        if request_bytes == self._request_bytes:
+            return
+        self._request_bytes = request_bytes
+        needed_bytes = math.ceil(request_bytes / _LARGE_REFUSED_FROM)
+        self.max_bytes = max(
+            self.least_bytes, min(needed_bytes, self.most_bytes)
+        )
+        if needed_bytes > self.most_bytes:
+            logs.event(
+                "largest requests are refused",
+                request_bytes=request_bytes,
+                needed_bytes=needed_bytes,
+                limit_bytes=self.max_bytes,
+            )
+
     def update(self, holder: Holder, size: int) -> None:
         """Records how many bytes a connection holds now."""
         self.total += size - self.sizes.get(holder, 0)
--- a/tamarackpier/daemon/caller_protocol.py
+++ b/tamarackpier/daemon/caller_protocol.py
@@ -25,7 +25,12 @@
 from tamarackpier.platform import edge
 from tamarackpier.traffic import caller_connection
 
-__all__ = ["TARGET_KEY", "ConnectionOwner", "set_max_head_bytes"]
+__all__ = [
+    "TARGET_KEY",
+    "ConnectionOwner",
+    "max_held_bytes",
+    "set_max_head_bytes",
+]
 
 _HEAD_TOO_LARGE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
@@ -58,6 +63,7 @@
 _MAX_UNSENT_BYTES = 16_384
 # What a header takes up beside its bytes: a pair, and two objects.
 _HEADER_OVERHEAD_BYTES = 130
+_LEAST_HEADER_BYTES = 4  # A name of one byte, a colon and the end of the line.
 # Framing of a chunked body, for each byte of it. A chunk of one byte takes five
 # bytes of framing, and more with padded sizes or extensions.
 _MAX_FRAMING_RATIO = 16
@@ -750,6 +756,23 @@
         ) + body
 
 
+def max_held_bytes(head_bytes: int, body_bytes: int) -> int:
+    """Returns how much the largest request makes a connection hold, in bytes.
+
+    Args:
+        head_bytes: Maximum size of a request's head.
+        body_bytes: Maximum size of a request's body.
+    """
+    headers = head_bytes // _LEAST_HEADER_BYTES
+    unparsed_bytes = _MAX_UNPARSED_BYTES + _MAX_READ_BYTES
+    return (
+        head_bytes
+        + headers * _HEADER_OVERHEAD_BYTES
+        + body_bytes
+        + unparsed_bytes
+    )
+
+
 def set_max_head_bytes(max_bytes: int) -> None:
     """Sets the maximum size of a head and of trailers, on all listeners."""
     _Protocol.max_head_bytes = max_bytes
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -548,6 +548,7 @@
         limits = routing.configuration.limits
         self.caller_listener.set_limits(
             limits.header_bytes,
+            limits.body_bytes,
             caller_connection.Limits(
                 limits.idle_timeout_s,
                 limits.header_timeout_s,
--- a/tamarackpier/daemon/hosted_apps.py
+++ b/tamarackpier/daemon/hosted_apps.py
@@ -48,6 +48,7 @@
             settings.instance.memory_mb, callers.memory_share
         ),
         counts,
+        caller_memory.most_bytes(settings.instance.memory_mb),
     )
 
     def listener(
--- a/tamarackpier/daemon/serving.py
+++ b/tamarackpier/daemon/serving.py
@@ -76,16 +76,23 @@
         )
 
     def set_limits(
-        self, head_bytes: int, limits: caller_connection.Limits
+        self,
+        head_bytes: int,
+        body_bytes: int,
+        limits: caller_connection.Limits,
     ) -> None:
         """Sets the limits of connections.
 
         Args:
             head_bytes: Maximum size of a request's head in bytes, for all
                 connections of all listeners.
+            body_bytes: Maximum size of a request's body in bytes.
             limits: Time limits of this listener's connections.
         """
         caller_protocol.set_max_head_bytes(head_bytes)
+        self.owner.memory.fit(
+            caller_protocol.max_held_bytes(head_bytes, body_bytes)
+        )
         self.owner.change_limits(limits)
 
     def close(self) -> None:
--- a/tamarackpier/standin/hosted_platform.py
+++ b/tamarackpier/standin/hosted_platform.py
@@ -28,6 +28,8 @@
 _TICK_S = 0.02
 _EVENT_INTERVAL_S = 0.01
 _IDLE_TIMEOUT_S = 60.0
+# Engines and the store take any number of large requests at once.
+_MAX_CALLER_BYTES = 1 << 30
 _ORDER_DELAY_RANGE_S = (1.0, 6.0)
 # Time after which an engine that a request crashed starts again.
 _RESTART_DELAY_S = 1.0
@@ -645,6 +647,7 @@
 
     async def _listen(self, app: Any, address: str) -> serving.HttpListener:
         listener = serving.HttpListener(app, address, _IDLE_TIMEOUT_S)
+        listener.owner.memory.max_bytes = _MAX_CALLER_BYTES
         await listener.listen()
         self.listeners.append(listener)
         return listener
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -372,7 +372,7 @@
 
     async def _check_versions(self):
         for entry in self.entries:
-            is_served = await self._serves_version(entry, self.version)
+            is_served = await self.serves_version(entry, self.version)
             if is_served is False:
                 self.add_violation(
                     f"{entry.id} has not adopted version {self.version}"
@@ -525,13 +525,13 @@
     async def _watch_versions(self):
         while True:
             for entry in self.entries:
-                await self._serves_version(
+                await self.serves_version(
                     entry, max(2, entry.newest_version_seen)
                 )
-                await self._serves_version(entry, self.version)
+                await self.serves_version(entry, self.version)
             await asyncio.sleep(0.2)
 
-    async def _serves_version(self, entry, version):
+    async def serves_version(self, entry, version):
         """Returns whether an instance serves the route of a version.
 
         Returns None if the instance does not answer, answers with another
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -372,6 +372,19 @@
         assert memory.total == sum(memory.sizes.values()) <= 1000
 
 
+def test_the_limit_has_room_for_the_largest_request_that_is_allowed():
+    memory = caller_memory.CallerMemory(1000, most_bytes=4000)
+    request = _Holder(True)
+    for request_bytes, max_bytes in ((600, 1000), (900, 1200), (9000, 4000)):
+        memory.fit(request_bytes)
+        assert memory.max_bytes == max_bytes
+        memory.update(request, min(request_bytes, 3000))
+        assert memory.victim(request) is None
+    memory.fit(600)
+    assert memory.max_bytes == 1000
+    assert memory.victim(request) is request
+
+
 def test_a_caller_that_reads_slowly_is_no_caller_that_does_not_read():
     unread = caller_connection.UnreadAnswer(1000)
     looks = [1000, 1000, 999, 999, 998, 998, 998, 998]
--- a/tests/test_uncontrolled_callers.py
+++ b/tests/test_uncontrolled_callers.py
@@ -11,6 +11,7 @@
 import pathlib
 import socket
 
+from tamarackpier.routing import model as routing_model
 from tests import process_fixtures, process_soak
 
 CONNECTIONS = 12
@@ -34,6 +35,10 @@
 BLOCK_BYTES = 65_536
 ENGINES = 4
 SEED = 71
+# A limit of bodies that is near that of all callers' connections by default.
+LARGE_BODY_BYTES = 28_000_000
+SMALLEST_MEMORY_BYTES = 200_000_000
+LIMIT_KNOWN_S = 10.0
 
 CHUNKED_HEAD = (
     b"POST /order/1 HTTP/1.1\r\n"
@@ -199,3 +204,32 @@
     _check(
         b"POST / HTTP/1.1\r\nContent-Length: 64\r\n\r\n" + b"x" * 64, 2 << 20
     )
+
+
+def test_a_single_request_of_the_largest_size_is_served():
+    """Guards against a limit of all callers that refuses one that is alone."""
+    limits = routing_model.Limits(body_bytes=LARGE_BODY_BYTES)
+    body = b"x" * LARGE_BODY_BYTES
+
+    async def status(soak):
+        async with soak.client.post(
+            f"http://{soak.entries[0].caller_address}/order/1",
+            headers=process_fixtures.headers("large"),
+            data=body,
+        ) as response:
+            return response.status
+
+    async def play():
+        async with process_soak.single_instance(SEED, ENGINES) as soak:
+            soak.configure(limits=limits)
+            async with asyncio.timeout(LIMIT_KNOWN_S):
+                while not await soak.serves_version(
+                    soak.entries[0], soak.version
+                ):
+                    await asyncio.sleep(0.1)
+            answered = await status(soak)
+            return answered, _memory_peak(soak.entries[0].process.pid)
+
+    answered, memory_bytes = asyncio.run(play())
+    assert answered == 200, answered
+    assert memory_bytes < SMALLEST_MEMORY_BYTES, memory_bytes
