--- a/tamarackpier/daemon/caller_memory.py
+++ b/tamarackpier/daemon/caller_memory.py
@@ -30,7 +30,8 @@
 # that a quarter is left for small ones.
 _LARGE_REFUSED_FROM = 0.75
 _LARGE_SHARE = 1 / 64
-# The limit is raised up to this share of the memory for large requests.
+# Share of the memory up to which the limit is raised if the configuration
+# allows requests that would not fit otherwise.
 _MOST_SHARE = 1 / 4
 # A connection with a request takes up 19 KB, an idle one 7 KB, as measured with
 # 1,500 of them.
--- a/tamarackpier/daemon/catch_up.py
+++ b/tamarackpier/daemon/catch_up.py
@@ -25,7 +25,8 @@
 # with other tables, so a peer that is ahead proves no change.
 _BEHIND_S = 0.8
 _LOST_CALL_S = 3.0
-# The same for a change that the store delivers, usually within 50 ms.
+# Time for which a peer must have had a change of the rows that an instance that
+# reads the store lacks. The store usually delivers it within 50 ms.
 _READER_LAG_S = 0.3
 # Time without an answer to a question after which a peer is asked.
 _UNANSWERED_S = 0.3
--- a/tests/test_uncontrolled_callers.py
+++ b/tests/test_uncontrolled_callers.py
@@ -38,6 +38,7 @@
 # A limit of bodies that is near that of all callers' connections by default.
 LARGE_BODY_BYTES = 28_000_000
 SMALLEST_MEMORY_BYTES = 200_000_000
+# Longest time until the instance has the configuration that allows it.
 LIMIT_KNOWN_S = 10.0
 
 CHUNKED_HEAD = (
