--- a/tests/test_engine_limits.py
+++ b/tests/test_engine_limits.py
@@ -18,12 +18,11 @@
 DEPLOYMENT = {"count": 3, "engine_count": 9, "domain_count": 4}
 
 
-def _leads(deployment):
-    """Returns the IDs of the engines that lead replicas of the model."""
-    return [
-        replica.lead.id
-        for replica in deployment.instances[0].fleet.serving("drafts", "large")
-    ]
+def _limit_model_engines(platform, per_s):
+    """Limits all engines of models, also those that lead a replica later."""
+    for name, engine in platform.fabric.engines.items():
+        if engine.record.service == "drafts":
+            platform.request_rates[name] = per_s
 
 
 def _busiest(platform):
@@ -108,8 +107,7 @@
 
         await deployment.until(lambda: min(deployment.serving()) >= 3)
         platform = deployment.platform
-        for lead in _leads(deployment):
-            platform.request_rates[lead] = 1.5
+        _limit_model_engines(platform, 1.5)
         await asyncio.gather(
             _Callers(deployment).send(16, 25), replace_instances()
         )
@@ -137,8 +135,7 @@
     async def check(deployment):
         await deployment.until(lambda: min(deployment.serving()) >= 3)
         platform = deployment.platform
-        for lead in _leads(deployment):
-            platform.request_rates[lead] = 0.5
+        _limit_model_engines(platform, 0.5)
         callers = _Callers(deployment)
         await callers.send(8, 25)
         _check_arrivals(platform)
@@ -163,9 +160,7 @@
     async def check(deployment):
         await deployment.until(lambda: min(deployment.serving()) >= 3)
         platform = deployment.platform
-        leads = _leads(deployment)
-        for lead in leads:
-            platform.request_rates[lead] = 0.5
+        _limit_model_engines(platform, 0.5)
         callers = _Callers(deployment)
         await callers.send(4, 25)
         assert 503 in callers.statuses()
