Log which fetch from a peer failed, and for how long news is missing

A failed fetch was counted, but its peer wasn't named, and no figure said for how long something was missing. 'fetch from a peer failed' names what and whom; the gauges configuration_missing_s and engine_rows_missing_s are 0 where no peer is known to have more (hypothesis 1).

--- a/tamarackpier/daemon/catch_up.py
+++ b/tamarackpier/daemon/catch_up.py
@@ -5,7 +5,7 @@
 
 from returns import pipeline
 
-from tamarackpier import logs, metrics
+from tamarackpier import codes, logs, metrics
 from tamarackpier.daemon import (
     entry_peers,
     loops,
@@ -116,6 +116,7 @@
             )
             self.configuration_follower.renew(was_away=False)
         self.due_at = self._next_due_at(now)
+        self._gauge_lags(now)
 
     def _next_due_at(self, now: float) -> float:
         """Returns the time of the next check beside those of each round.
@@ -230,7 +231,9 @@
         )
         fetch_result = await self.peers.fetch_configuration(peer_id)
         if not pipeline.is_successful(fetch_result):
-            self.metrics.count("fetch_error", fetch_result.failure().code.name)
+            self._record_failure(
+                "configuration", peer_id, fetch_result.failure()
+            )
         elif fetch_result.unwrap():
             self.configuration.apply(fetch_result.unwrap(), f"peer {peer_id}")
 
@@ -241,9 +244,30 @@
             return
         fetch_result = await self.peers.fetch_engines(peer_id, version)
         if not pipeline.is_successful(fetch_result):
-            self.metrics.count("fetch_error", fetch_result.failure().code.name)
+            self._record_failure("engines", peer_id, fetch_result.failure())
             return
         changes = fetch_result.unwrap()
         if changes.rows and changes.version > self.engines.version:
             self.metrics.count("engines_from_peer")
             self.engines.apply_snapshot(changes)
+
+    def _record_failure(
+        self, name: str, peer_id: str, fault: codes.Fault
+    ) -> None:
+        self.metrics.count("fetch_error", fault.code.name)
+        logs.event(
+            "fetch from a peer failed",
+            fetched=name,
+            peer=peer_id,
+            detail=str(fault)[:200],
+        )
+
+    def _gauge_lags(self, now: float) -> None:
+        """Sets for how long what peers have has been missing here."""
+        for name, since in (
+            ("configuration_missing_s", self._behind_since),
+            ("engine_rows_missing_s", self.missing_since()),
+        ):
+            self.metrics.gauge(
+                name, 0.0 if since is None else round(now - since, 3)
+            )
