--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -26,6 +26,10 @@
 _SLOWED_S = 3.0
 # Time after the start in which a new instance must be ready, in seconds.
 _NEW_READY_S = 10.0
+# Time from a change until peers stand still, in seconds.
+STILL_AFTER_S = 0.15
+# Longest time for which a change is waited for, in seconds.
+LONGEST_S = 12.0
 _SHARES = (0.35, 0.35, 0.7, 1.0)
 _OUTAGES_S = (0.3, 1.0, 2.0, 4.0, 6.0, 9.0)
 _PAUSES_S = (0.0, 0.3, 1.5, 4.0)
@@ -95,25 +99,102 @@
     fleet.wait(_SLOWED_S)
 
 
-def spread_lags(fleet, outage, share=1.0 / 3.0):
+@dataclasses.dataclass(frozen=True)
+class PeerTrouble:
+    """Peers that instances without the store can't reach.
+
+    Attributes:
+        share: Share of the other instances that can't be reached; 0 for a
+            single one.
+        stands_still: Whether they stand still, soon after the change. If not,
+            their links to the instances without the store are lost before.
+        is_random: Whether they are chosen at random. If not, they have the
+            highest IDs.
+    """
+
+    share: float
+    stands_still: bool
+    is_random: bool = False
+
+    def choose(self, fleet, met):
+        """Returns the IDs of the peers that can't be reached.
+
+        Args:
+            fleet: The fleet.
+            met: IDs of the instances without the store.
+        """
+        others = sorted(set(fleet.ids()) - set(met))
+        count = max(1, round(self.share * len(others)))
+        if self.is_random:
+            return fleet.rng.sample(others, count)
+        return others[-count:]
+
+
+PEER_TROUBLES = {
+    "none": None,
+    "links to the highest lost": PeerTrouble(0.0, False),
+    "links to a quarter lost": PeerTrouble(0.25, False),
+    "links to half lost": PeerTrouble(0.5, False),
+    "links to a random half lost": PeerTrouble(0.5, False, True),
+    "the highest stands still": PeerTrouble(0.0, True),
+    "a quarter stands still": PeerTrouble(0.25, True, True),
+    "half stand still": PeerTrouble(0.5, True, True),
+    "the highest half stands still": PeerTrouble(0.5, True),
+}
+
+
+def zone_ids(fleet, zone):
+    """Returns the IDs of the instances of a zone."""
+    return [
+        instance.settings.instance.id
+        for instance in fleet.instances
+        if instance.settings.instance.availability_zone == zone
+    ]
+
+
+def _lose_links(fleet, some, others):
+    """Loses the links between two groups of instances."""
+    some, others = set(some), set(others)
+    fleet.has_link = lambda caller_id, callee_id: (
+        not (
+            (caller_id in some and callee_id in others)
+            or (caller_id in others and callee_id in some)
+        )
+    )
+
+
+def spread_lags(fleet, outage, share=1.0 / 3.0, met=None, trouble=None):
     """Returns after how many seconds all instances know what one has learned.
 
     Meanwhile a share of the instances can't reach the store. Where zones can
-    be evacuated, one is.
+    be evacuated, one is. Instances that stand still needn't know.
 
     Args:
         fleet: A settled fleet with engines o0 to o3.
         outage: The outage that the share meets.
         share: Share of the instances that it meets.
+        met: IDs of the instances that it meets instead of a random share.
+        trouble: Peers that these can't reach either; None for none.
 
     Returns:
         The lags in seconds by what was learned.
     """
-    met = fleet.ids(share)
+    if met is None:
+        met = fleet.ids(share)
     fleet.store.begin_outage(met, outage)
+    unreachable = trouble.choose(fleet, met) if trouble else []
+    if trouble and not trouble.stands_still:
+        _lose_links(fleet, met, unreachable)
     fleet.wait(fleet.rng.uniform(1.0, 6.0))
     now = fleet.loop.time()
-    sources = fleet.rng.sample(fleet.instances, 3)
+    sources = fleet.rng.sample(
+        [
+            instance
+            for instance in fleet.instances
+            if instance.settings.instance.id not in unreachable
+        ],
+        3,
+    )
     sources[0].relay.record_departure(departures.Departure("o0", 1), "test")
     sources[1].relay.limits.record(rate_limits.Limit("o1", 1, 2.5, now))
     deaths = [quarantine.Crash("f", f"x{n}@1", now) for n in range(3)]
@@ -138,10 +219,13 @@
         known_by["evacuation"] = lambda one: (
             "zone-2" in one.fleet.evacuations.zones()
         )
+    if trouble and trouble.stands_still:
+        fleet.wait(STILL_AFTER_S)
+        fleet.stand_still(unreachable)
     lags = {}
-    while len(lags) < len(known_by) and fleet.loop.time() - now < 30.0:
+    while len(lags) < len(known_by) and fleet.loop.time() - now < LONGEST_S:
         for kind, knows in known_by.items():
-            if kind not in lags and all(map(knows, fleet.instances)):
+            if kind not in lags and all(map(knows, fleet.moving())):
                 lags[kind] = round(fleet.loop.time() - now, 2)
         fleet.wait(0.02)
     fleet.store.end_outage(met)
@@ -299,6 +383,30 @@
             print(count, seed, outage, "LATE" if late else "", lags, flush=True)
 
 
+def _print_troubles(count, seed, latency_s):
+    """Prints the lags where a zone has neither the store nor some peers."""
+    for name, trouble in PEER_TROUBLES.items():
+        for outage in (
+            virtual_fleet.Outage.REFUSES,
+            virtual_fleet.Outage.SILENT,
+        ):
+            with contextlib.closing(create_fleet(count, seed)) as fleet:
+                if latency_s:
+                    slow_down(fleet, latency_s)
+                met = zone_ids(fleet, "zone-1")
+                lags = spread_lags(fleet, outage, met=met, trouble=trouble)
+                late = max(lags.values()) > fleet.bound_s
+                print(
+                    count,
+                    seed,
+                    name,
+                    outage,
+                    "LATE" if late else "",
+                    lags,
+                    flush=True,
+                )
+
+
 def _main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--count", type=int, default=6)
@@ -313,6 +421,12 @@
     parser.add_argument(
         "--evacuate", action="store_true", help="evacuate and return zones"
     )
+    parser.add_argument(
+        "--peers",
+        action="store_true",
+        help="measure the same for a zone without the store that can't reach"
+        " some of its peers",
+    )
     parser.add_argument(
         "--latency",
         type=float,
@@ -326,6 +440,10 @@
         for seed in range(*arguments.seeds):
             _print_spread(arguments.count, seed, evacuate_s, arguments.latency)
         return
+    if arguments.peers:
+        for seed in range(*arguments.seeds):
+            _print_troubles(arguments.count, seed, arguments.latency)
+        return
     if arguments.evacuate:
         for seed in range(*arguments.seeds):
             lags = play_evacuations(arguments.count, seed)
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -186,19 +186,22 @@
     async def _serve(self, name, request):
         await asyncio.sleep(self.fleet.peer_latency_s())
         target = self.fleet.by_address.get(self.address)
-        if (
-            target is None
-            or not self.fleet.has_link(
-                self.caller_id, target.settings.instance.id
-            )
-            or self.fleet.is_lost(name, self.caller_id)
-        ):
+        if target is None or self.fleet.is_lost(name, self.caller_id):
+            await asyncio.sleep(3600.0)
+        target_id = target.settings.instance.id
+        if not self.fleet.has_link(self.caller_id, target_id):
             await asyncio.sleep(3600.0)
+        await self._wait_if_still(target_id)
         received = type(request).FromString(request.SerializeToString())
         reply = await getattr(target.entry_service, name)(received, None)
         await asyncio.sleep(self.fleet.peer_latency_s())
+        await self._wait_if_still(target_id)
         return type(reply).FromString(reply.SerializeToString())
 
+    async def _wait_if_still(self, target_id):
+        if {self.caller_id, target_id} & self.fleet.still:
+            await asyncio.sleep(3600.0)
+
     async def close(self):
         pass
 
@@ -222,6 +225,7 @@
         has_link: Returns whether an instance reaches another, by their IDs.
         is_lost: Returns whether a call of an instance to a peer is lost, by the
             name of the method and the instance's ID.
+        still: IDs of the instances that stand still, as seen by all others.
         evacuate_s: Time in which an evacuation must be in force, in seconds;
             0 if zones are not evacuated.
         version: Version of the latest configuration.
@@ -248,6 +252,7 @@
         self.peer_latency_s = lambda: PEER_LATENCY_S
         self.has_link = lambda caller_id, callee_id: True
         self.is_lost = lambda method, caller_id: False
+        self.still = frozenset()
         self.version = 0
         self.instances = []
         self.configure()
@@ -309,6 +314,19 @@
         ids = [instance.settings.instance.id for instance in self.instances]
         return sorted(self.rng.sample(ids, round(share * len(ids))))
 
+    def stand_still(self, ids):
+        """Lets instances stand still: nothing is heard of them from now on."""
+        self.still = frozenset(ids)
+        self.store.begin_outage(ids, Outage.SILENT)
+
+    def moving(self):
+        """Returns the instances that don't stand still."""
+        return [
+            instance
+            for instance in self.instances
+            if instance.settings.instance.id not in self.still
+        ]
+
     def wait(self, seconds):
         """Lets virtual time pass."""
         self.loop.run_until_complete(asyncio.sleep(seconds))
