What is missing is pulled from any peer that has it

Callers were served by an old configuration, or sent to engines that had left, for as long as one peer could not be reached.

Cause: an instance that the store does not tell fetched a missing configuration or row from the live peer with the highest version and, of equals, the highest ID, one call of 1 s after the other. A peer's state arrives by way of others, so one that does not answer stays live and newest.

Change: which peers answer this instance's own calls is noted (peer/contacts.py); any peer that has the version may be asked, those that answer first, near ones before others, else at random (peer/pulls.py); while there is no answer up to four are asked at once. A peer that did not have what it reported is left out for 5 s, counted and logged. The limits of the steps are shares of drain_ms and config_apply_ms (peer/propagation.py). The configuration is noted when it is heard of, as rows are.

--- a/tamarackpier/daemon/catch_up.py
+++ b/tamarackpier/daemon/catch_up.py
@@ -1,45 +1,38 @@
-"""Fetches from peers what this instance cannot read from the store."""
+"""Pulls from peers what neither the store nor the followed peer delivers."""
 
 import math
+import random
 from collections.abc import Callable
 
-from returns import pipeline
+from returns import pipeline, result
 
 from tamarackpier import codes, logs, metrics
 from tamarackpier.daemon import (
     entry_peers,
-    loops,
+    peer_asks,
     peer_status,
     row_cache,
-    row_source,
     store_watch,
 )
+from tamarackpier.peer import contacts, propagation, pulls
 
 __all__ = ["CatchUp"]
 
-# Time for the store to deliver a newer configuration before it is fetched from
-# a peer. The store usually delivers within 50 ms.
-_CONFIGURATION_FETCH_DELAY_S = 0.3
 # Time for which a peer must have had newer engine rows, and for which an own
 # call must have waited, until the call is taken for lost. Versions also rise
 # with other tables, so a peer that is ahead proves no change.
 _BEHIND_S = 0.8
 _LOST_CALL_S = 3.0
-# Time for which a peer must have had a change of the rows that an instance that
-# reads the store lacks. The store usually delivers it within 50 ms.
-_READER_LAG_S = 0.3
-# Time without an answer to a question after which a peer is asked.
-_UNANSWERED_S = 0.3
 # Time between two checks while a change is missing.
-_CHECK_S = 0.1
-# Time between two fetches of all rows.
-_ENGINES_FETCH_INTERVAL_S = 0.25
-# Time without the store after which the engine rows are fetched from peers.
-_ENGINES_FETCH_DELAY_S = 0.5
+_CHECK_S = 0.05
+# Time without the store after which engine rows are pulled from a peer that has
+# read further, and the time between two such pulls.
+_STORE_LOST_S = 0.5
+_READ_FURTHER_INTERVAL_S = 0.25
 
 
 class CatchUp:
-    """Fetches the configuration and the engine rows from peers.
+    """Pulls the configuration and the engine rows from peers.
 
     Attributes:
         statuses: Statuses of the peers, with the versions that they have.
@@ -48,18 +41,19 @@
         engines: Cache of the engine rows; updated.
         follower: Follows the engine rows in the store.
         configuration_follower: Follows the operators' table in the store.
-        metrics: Counts fetches and their failures.
-        missing_since: Returns since when a peer has had a change of the engine
-            rows that is missing here; None if none is missing.
+        missing_change: The change of the engine rows that a peer has and this
+            instance lacks.
+        missing_configuration: The same for the configuration.
+        metrics: Counts calls to peers and renewed polls.
+        times: Returns the limits for the steps of a change.
         reads_store: Returns whether the rows are read from the store and not
             from a peer.
         is_store_away: Returns whether the store has left a call unanswered
             since it last answered one.
         due_at: Time of the next check beside those of each round, in seconds
-            on the monotonic clock; infinity while no change is missing.
-        peers_ahead_since: Time since which a live peer has had newer engine
-            rows than this instance, in seconds on the monotonic clock; None if
-            none has.
+            on the monotonic clock; infinity while nothing is missing.
+        peers_ahead_since: Time since which a live peer has read further than
+            this instance, in seconds on the monotonic clock; None if none has.
     """
 
     def __init__(
@@ -70,7 +64,11 @@
         engines: row_cache.EngineRowCache,
         follower: store_watch.TableFollower,
         configuration_follower: store_watch.TableFollower,
+        missing_change: pulls.MissingVersion,
         counts: metrics.Metrics,
+        times: Callable[[], propagation.PropagationTimes],
+        rng: random.Random,
+        clock: Callable[[], float],
     ) -> None:
         self.statuses = statuses
         self.peers = peers
@@ -78,31 +76,46 @@
         self.engines = engines
         self.follower = follower
         self.configuration_follower = configuration_follower
+        self.missing_change = missing_change
+        self.missing_configuration = pulls.MissingVersion(
+            statuses.newest_configuration_version,
+            lambda: configuration.version,
+            clock,
+        )
         self.metrics = counts
-        self.missing_since: Callable[[], float | None] = lambda: None
+        self.times = times
         self.reads_store: Callable[[], bool] = lambda: False
         self.is_store_away: Callable[[], bool] = lambda: False
         self.due_at = math.inf
         self.peers_ahead_since: float | None = None
-        self._engines_fetched_at = -math.inf
-        self._behind_since: float | None = None
-        self._fetches = loops.SingleFlight(counts)
+        self._read_further_at = -math.inf
+        self._configuration_asks = peer_asks.PeerAsks(
+            contacts.News.CONFIGURATION,
+            self._ask_configuration,
+            lambda: configuration.version,
+            statuses.contacts,
+            counts,
+            rng,
+            clock,
+        )
+        self._row_asks = peer_asks.PeerAsks(
+            contacts.News.ENGINE_ROWS,
+            self._ask_rows,
+            lambda: engines.version,
+            statuses.contacts,
+            counts,
+            rng,
+            clock,
+        )
 
-    def note_change(self, now: float) -> None:
-        """Notes that a peer has a newer change, and when to act on it."""
+    def note_news(self, now: float) -> None:
+        """Notes that a peer has something newer, and when to act on it."""
         self.due_at = min(self.due_at, self._next_due_at(now))
 
     def tick(self, now: float) -> None:
-        """Starts the fetches that are due."""
-        if self._is_behind(now):
-            self._fetches.start("configuration", self._fetch_configuration)
-        if (
-            now - self._engines_fetched_at >= _ENGINES_FETCH_INTERVAL_S
-            and self._needs_engines(now)
-        ):
-            self._engines_fetched_at = now
-            self._fetches.start("engines", self._fetch_engines)
-        self._update_peers_ahead(now)
+        """Asks peers and renews polls where that is due."""
+        self._pull_configuration(now)
+        self._pull_rows(now)
         if self._has_lost_call(now):
             self.metrics.count("poll_renewed", "peers are ahead")
             self.follower.renew(was_away=False)
@@ -118,24 +131,83 @@
         self.due_at = self._next_due_at(now)
         self._gauge_lags(now)
 
+    def close(self) -> None:
+        """Gives up all calls to peers."""
+        self._configuration_asks.stop()
+        self._row_asks.stop()
+
+    def _pull_configuration(self, now: float) -> None:
+        since = self.missing_configuration.since()
+        if since is None:
+            self._configuration_asks.stop()
+        elif now >= self._configuration_due_at(since):
+            version = self.missing_configuration.version
+            self._configuration_asks.advance(
+                version,
+                self.statuses.configuration_holders(version),
+                self.times(),
+            )
+
+    def _pull_rows(self, now: float) -> None:
+        since = self.missing_change.since()
+        self._update_peers_ahead(now)
+        if since is not None:
+            if now - since < self._delivery_s():
+                return
+            version = self.missing_change.version
+        elif self._may_read_further(now):
+            self._read_further_at = now
+            version = self.engines.version + 1
+        else:
+            if self.peers_ahead_since is None:
+                self._row_asks.stop()
+            return
+        self._row_asks.advance(
+            version, self.statuses.engines_holders(version), self.times()
+        )
+
+    def _may_read_further(self, now: float) -> bool:
+        """Returns whether a version without a known change is pulled, too."""
+        return (
+            self.peers_ahead_since is not None
+            and self.follower.is_lost
+            and now - self.follower.read_at > _STORE_LOST_S
+            and now - self._read_further_at >= _READ_FURTHER_INTERVAL_S
+        )
+
     def _next_due_at(self, now: float) -> float:
         """Returns the time of the next check beside those of each round.
 
-        While a change is missing, checks follow one another closely: what one
+        While something is missing, checks follow one another closely: what one
         starts may fail, and the times of all that is waited for add up.
 
         Returns:
-            The time in seconds on the monotonic clock; infinity if no change is
+            The time in seconds on the monotonic clock; infinity if nothing is
             missing.
         """
-        since = self.missing_since()
-        if since is None:
-            return math.inf
-        due_at = since + self._lag_limit_s()
+        due_at = math.inf
+        since = self.missing_change.since()
+        if since is not None:
+            due_at = since + self._delivery_s()
+        since = self.missing_configuration.since()
+        if since is not None:
+            due_at = min(due_at, self._configuration_due_at(since))
         return due_at if due_at > now else now + _CHECK_S
 
+    def _configuration_due_at(self, since: float) -> float:
+        """Returns from when on a missing configuration is asked for."""
+        if self.configuration.routing is None:
+            return since
+        return since + self.times().delivery_s
+
+    def _delivery_s(self) -> float:
+        """Returns the time for a change of the rows to be delivered."""
+        if self.reads_store() and self.is_store_away():
+            return 0.0
+        return self.times().delivery_s
+
     def _update_peers_ahead(self, now: float) -> None:
-        if self.statuses.newer_engines_peer(self.engines.version) is None:
+        if self.statuses.newest_engines_version() <= self.engines.version:
             self.peers_ahead_since = None
         elif self.peers_ahead_since is None:
             self.peers_ahead_since = now
@@ -154,38 +226,17 @@
 
     def _lacks_change(self, now: float) -> bool:
         """Returns whether a change that a peer has is missing for too long."""
-        since = self.missing_since()
-        return since is not None and now - since >= self._lag_limit_s()
-
-    def _lag_limit_s(self) -> float:
-        """Returns for how long a change that a peer has may be missing here."""
-        if not self.reads_store():
-            return row_source.MAX_LAG_S
-        return 0.0 if self.is_store_away() else _READER_LAG_S
-
-    def _needs_engines(self, now: float) -> bool:
-        """Returns whether the engine rows have to come from a peer."""
-        return (
-            self._is_store_unavailable(now)
-            or self._is_left_unanswered(now)
-            or (
-                self.reads_store()
-                and self.is_store_away()
-                and self._lacks_change(now)
-            )
-        )
-
-    def _is_left_unanswered(self, now: float) -> bool:
-        """Returns whether the question for a missing change has no answer."""
-        return (
-            self._lacks_change(now)
-            and not self.follower.is_waiting
-            and self.follower.waited_s() > _UNANSWERED_S
-        )
+        since = self.missing_change.since()
+        if since is None:
+            return False
+        limit_s = self.times().parent_lag_s
+        if self.reads_store():
+            limit_s = self._delivery_s()
+        return now - since >= limit_s
 
     def _has_lost_configuration_call(self, now: float) -> bool:
         """Returns whether a peer had what the poll in flight has missed."""
-        had_at = self._behind_since
+        had_at = self.missing_configuration.since()
         if had_at is None:
             had_at = self.configuration.from_peer_at
         polled_at = self.configuration_follower.polled_at
@@ -194,80 +245,62 @@
             and polled_at is not None
             and self.configuration_follower.is_waiting
             and polled_at < had_at
-            and now - had_at >= _CONFIGURATION_FETCH_DELAY_S
+            and now - had_at >= self.times().delivery_s
         )
 
-    def _is_behind(self, now: float) -> bool:
-        """Returns whether a peer has had a newer configuration for too long."""
-        if (
-            self.statuses.newer_configuration_peer(self.configuration.version)
-            is None
-        ):
-            self._behind_since = None
-            return False
-        if self._behind_since is None:
-            self._behind_since = now
-        if self.configuration.routing is None:
-            return True
-        return now - self._behind_since >= _CONFIGURATION_FETCH_DELAY_S
-
-    def _is_store_unavailable(self, now: float) -> bool:
-        """Returns whether the store has been unavailable for too long."""
-        if not self.follower.is_lost:
-            return False
-        return now - self.follower.read_at > _ENGINES_FETCH_DELAY_S
-
-    async def _fetch_configuration(self) -> None:
-        peer_id = self.statuses.newer_configuration_peer(
-            self.configuration.version
-        )
-        if peer_id is None:
-            return
-        logs.event(
-            "configuration behind",
-            version=self.configuration.version,
-            peer=peer_id,
-            poll_waited_s=round(self.configuration_follower.waited_s(), 3),
+    async def _ask_configuration(
+        self, ask: pulls.Ask
+    ) -> result.Result[None, codes.Fault]:
+        fetch_result = await self.peers.fetch_configuration(
+            ask.peer_id, ask.limit_s
         )
-        fetch_result = await self.peers.fetch_configuration(peer_id)
-        if not pipeline.is_successful(fetch_result):
-            self._record_failure(
-                "configuration", peer_id, fetch_result.failure()
+        if pipeline.is_successful(fetch_result) and fetch_result.unwrap():
+            self.configuration.apply(
+                fetch_result.unwrap(), f"peer {ask.peer_id}"
             )
-        elif fetch_result.unwrap():
-            self.configuration.apply(fetch_result.unwrap(), f"peer {peer_id}")
+        return fetch_result.map(lambda data: None)
 
-    async def _fetch_engines(self) -> None:
+    async def _ask_rows(
+        self, ask: pulls.Ask
+    ) -> result.Result[None, codes.Fault]:
+        """Applies the changes that a peer has, or all of its rows."""
+        if self.engines.is_loaded:
+            changes_result = await self.peers.fetch_engine_changes(
+                ask.peer_id, self.engines.version, ask.limit_s
+            )
+            if pipeline.is_successful(changes_result):
+                self._apply_changes(changes_result.unwrap(), ask.peer_id)
+                return result.Success(None)
+            fault = changes_result.failure()
+            if fault.code is not codes.TABLE_HISTORY_LOST:
+                return result.Failure(fault)
         version = self.engines.version
-        peer_id = self.statuses.newer_engines_peer(version)
-        if peer_id is None:
-            return
-        fetch_result = await self.peers.fetch_engines(peer_id, version)
-        if not pipeline.is_successful(fetch_result):
-            self._record_failure("engines", peer_id, fetch_result.failure())
-            return
-        changes = fetch_result.unwrap()
-        if changes.rows and changes.version > self.engines.version:
-            self.metrics.count("engines_from_peer")
-            self.engines.apply_snapshot(changes)
+        fetch_result = await self.peers.fetch_engines(
+            ask.peer_id, version, ask.limit_s
+        )
+        if pipeline.is_successful(fetch_result):
+            snapshot = fetch_result.unwrap()
+            if snapshot.rows and snapshot.version > self.engines.version:
+                self.metrics.count("engines_from_peer", "all")
+                self.engines.apply_snapshot(snapshot)
+        return fetch_result.map(lambda changes: None)
 
-    def _record_failure(
-        self, name: str, peer_id: str, fault: codes.Fault
+    def _apply_changes(
+        self, followed: entry_peers.Followed, peer_id: str
     ) -> None:
-        self.metrics.count("fetch_error", fault.code.name)
-        logs.event(
-            "fetch from a peer failed",
-            fetched=name,
-            peer=peer_id,
-            detail=str(fault)[:200],
-        )
+        if followed.changes.version > self.engines.version:
+            self.metrics.count("engines_from_peer", "changes")
+            self.engines.apply_changes(followed.changes)
+        if followed.configuration:
+            self.configuration.apply(followed.configuration, f"peer {peer_id}")
 
     def _gauge_lags(self, now: float) -> None:
         """Sets for how long what peers have has been missing here."""
-        for name, since in (
-            ("configuration_missing_s", self._behind_since),
-            ("engine_rows_missing_s", self.missing_since()),
+        for name, missing in (
+            ("configuration_missing_s", self.missing_configuration),
+            ("engine_rows_missing_s", self.missing_change),
         ):
+            since = missing.since()
             self.metrics.gauge(
                 name, 0.0 if since is None else round(now - since, 3)
             )
--- a/tamarackpier/daemon/entry_peers.py
+++ b/tamarackpier/daemon/entry_peers.py
@@ -18,7 +18,6 @@
 __all__ = ["EntryPeers", "EntryService", "Followed"]
 
 _EXCHANGE_TIMEOUT_S = 0.4
-_FETCH_TIMEOUT_S = 1.0
 _FOLLOW_HEADROOM_S = 0.3  # Call timeout minus the requested wait.
 _MAX_WAIT_S = 5.0  # Longest time for which a call waits for a change.
 _MAX_FAILURES_PER_CHANNEL = 2  # Consecutive failures that close a channel.
@@ -255,17 +254,21 @@
             self._tasks.start(self._links.pop(address).channel.close())
 
     async def fetch_configuration(
-        self, peer_id: str
+        self, peer_id: str, limit_s: float
     ) -> result.Result[bytes, codes.Fault]:
-        """Fetches a peer's configuration; empty if it is not newer."""
+        """Fetches a peer's configuration; empty if it is not newer.
+
+        Args:
+            peer_id: ID of the peer.
+            limit_s: Time for which to wait for the answer, in seconds.
+        """
         request = entry_pb2.FetchConfigurationRequest(
             have_version=self.statuses.version()
         )
+        self._record_call(peer_id)
         reply_result = await self._call(
             peer_id,
-            lambda stub: stub.FetchConfiguration(
-                request, timeout=_FETCH_TIMEOUT_S
-            ),
+            lambda stub: stub.FetchConfiguration(request, timeout=limit_s),
         )
         return reply_result.map(
             lambda reply: bytes(
@@ -274,18 +277,19 @@
         )
 
     async def fetch_engines(
-        self, peer_id: str, have_version: int
+        self, peer_id: str, have_version: int, limit_s: float
     ) -> result.Result[interfaces.Changes, codes.Fault]:
         """Fetches all engine rows of a peer; none if they are not newer.
 
         Args:
             peer_id: ID of the peer.
             have_version: Store version of the rows that this instance has.
+            limit_s: Time for which to wait for the answer, in seconds.
         """
         request = entry_pb2.FetchEnginesRequest(have_version=have_version)
+        self._record_call(peer_id)
         reply_result = await self._call(
-            peer_id,
-            lambda stub: stub.FetchEngines(request, timeout=_FETCH_TIMEOUT_S),
+            peer_id, lambda stub: stub.FetchEngines(request, timeout=limit_s)
         )
         return reply_result.map(
             lambda reply: interfaces.Changes(
@@ -297,6 +301,36 @@
             )
         )
 
+    async def fetch_engine_changes(
+        self, peer_id: str, after: int, limit_s: float
+    ) -> result.Result[Followed, codes.Fault]:
+        """Fetches the engine rows that changed at a peer, without a wait.
+
+        Unlike `follow_engines`, it takes rows that the peer itself doubts: they
+        are newer than those of this instance.
+
+        Args:
+            peer_id: ID of the peer.
+            after: Store version after which the rows changed.
+            limit_s: Time for which to wait for the answer, in seconds.
+
+        Returns:
+            The changes, or a fault if the call failed or the peer's history
+            does not reach back to `after`.
+        """
+        request = entry_pb2.FollowEnginesRequest(
+            after_version=after, configuration_version=self.statuses.version()
+        )
+        self._record_call(peer_id)
+        reply_result = await self._call(
+            peer_id, lambda stub: stub.FollowEngines(request, timeout=limit_s)
+        )
+        return reply_result.bind(
+            lambda reply: _decode_rows(
+                peer_id, self._with_evacuations(reply, peer_id)
+            )
+        )
+
     async def follow_engines(
         self, peer_id: str, after: int, wait_s: float
     ) -> result.Result[Followed, codes.Fault]:
@@ -351,8 +385,9 @@
         if known_peer is None:
             return failures.failure(codes.PEER_UNAVAILABLE, peer_id)
         link = self._link(known_peer[0].peer_address)
+        contacts = self.statuses.contacts
         try:
-            return result.Success(await call(link.stub))
+            reply = await call(link.stub)
         except grpc.aio.AioRpcError as error:
             reason = error.code().name
         except grpc.aio.UsageError:
@@ -363,8 +398,15 @@
             if _is_cancelled():
                 raise
             reason = _CLOSED
+        else:
+            contacts.record_answer(peer_id, self.clock())
+            return result.Success(reply)
+        contacts.record_failure(peer_id, self.clock())
         return failures.failure(codes.PEER_UNAVAILABLE, f"{peer_id}: {reason}")
 
+    def _record_call(self, peer_id: str) -> None:
+        self.statuses.contacts.record_call(peer_id, self.clock())
+
     def _link(self, address: str) -> _Link:
         now = self.clock()
         link = self._links.get(address)
@@ -377,16 +419,23 @@
 
     async def _exchange(self, address: str, peer_id: str, link: _Link) -> None:
         link.is_busy = True
+        contacts = self.statuses.contacts
+        if peer_id:
+            self._record_call(peer_id)
         try:
             reply = await link.stub.Exchange(
                 self.statuses.build_request(), timeout=_EXCHANGE_TIMEOUT_S
             )
             link.failed_calls = 0
+            if peer_id:
+                contacts.record_answer(peer_id, self.clock())
             self.statuses.receive(reply)
         except grpc.aio.UsageError:
             self.metrics.count("peer_error", _CLOSED)
         except grpc.aio.AioRpcError as error:
             self.metrics.count("peer_error", error.code().name)
+            if peer_id:
+                contacts.record_failure(peer_id, self.clock())
             details = (error.details() or "").lower()
             if peer_id and "refused" in details:
                 self._record_refusal(peer_id)
@@ -421,6 +470,12 @@
         return failures.failure(
             codes.PEER_UNAVAILABLE, f"{peer_id} has old rows"
         )
+    return _decode_rows(peer_id, reply)
+
+
+def _decode_rows(
+    peer_id: str, reply: entry_pb2.FollowEnginesReply
+) -> result.Result[Followed, codes.Fault]:
     if reply.is_history_lost:
         return failures.failure(codes.TABLE_HISTORY_LOST, peer_id)
     rows = tuple(
--- a/tamarackpier/daemon/hosted.py
+++ b/tamarackpier/daemon/hosted.py
@@ -36,7 +36,7 @@
     zone_controller,
 )
 from tamarackpier.fleet import fleet_view, model
-from tamarackpier.peer import membership
+from tamarackpier.peer import membership, propagation, pulls
 from tamarackpier.peer import roster as roster_lib
 from tamarackpier.platform import contracts, engines, interfaces, store, wire
 from tamarackpier.routing import table
@@ -286,13 +286,18 @@
             self.engine_rows.version,
             self.row_source.source,
         )
+        missing_change = pulls.MissingVersion(
+            self.statuses.newest_engines_change,
+            lambda: self.engine_rows.version,
+            self.clock,
+        )
         self.row_source = row_source.RowSource(
             self.rows,
             self.peers,
             self.roster,
             self._is_planning,
-            lambda: self.engine_rows.version,
-            self.statuses.newest_engines_change,
+            missing_change,
+            self._propagation_times,
             self.metrics,
             self.clock,
         )
@@ -347,17 +352,18 @@
             self.engine_rows,
             self.followers[1],
             self.followers[0],
+            missing_change,
             self.metrics,
+            self._propagation_times,
+            self.rng,
+            self.clock,
         )
         self.statuses.engines_change = lambda: self.engine_rows.change_version
-        self.catch_up.missing_since = self.row_source.missing_since
         self.catch_up.reads_store = lambda: self.row_source.reads_store
         self.catch_up.is_store_away = lambda: (
             self.store_outages.contact.away_since is not None
         )
-        self.statuses.on_change = lambda: self.catch_up.note_change(
-            self.clock()
-        )
+        self.statuses.on_news = lambda: self.catch_up.note_news(self.clock())
         self.entry_service = entry_peers.EntryService(
             self.statuses,
             self.configuration,
@@ -526,6 +532,7 @@
         self.link_checker.close()
         self.prober.close()
         self.crash_checker.close()
+        self.catch_up.close()
         for controller in self.zone_controllers.values():
             controller.close()
         await self.peer_engines.close()
@@ -720,6 +727,11 @@
         self.store_outages.renew_overdue_polls()
         self.catch_up.tick(now)
 
+    def _propagation_times(self) -> propagation.PropagationTimes:
+        bounds = self.settings.bounds
+        bound_ms = min(bounds.drain_ms, bounds.config_apply_ms)
+        return propagation.create(bound_ms / _MS_PER_S)
+
     def _learn_era_from_peers(self) -> None:
         """Notices a restore of the store while own calls wait for changes."""
         version = self.statuses.newest_engines_version()
--- a/tamarackpier/daemon/peer_status.py
+++ b/tamarackpier/daemon/peer_status.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import functools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from tamarackpier import logs
 from tamarackpier.daemon import probing, store_contact, zone_controller
@@ -10,10 +10,12 @@
 from tamarackpier.peer import (
     account_codec,
     ages,
+    contacts,
     crash_codec,
     evacuation_codec,
     limit_codec,
     load_codec,
+    pulls,
     zone_claims,
 )
 from tamarackpier.peer import roster as roster_lib
@@ -79,8 +81,8 @@
         service_to_tell: Returns the time in which the store has answered; None
             if it has not lately.
         on_service: Called with the one that a peer tells of.
-        on_change: Called when a message says that a peer has a change of the
-            engine rows that this instance lacks.
+        on_news: Called when a message says that a peer has a configuration or
+            a change of the engine rows that this instance lacks.
         on_evacuations: Called with the evacuations that a peer knows of, and
             its ID.
         claims: The last claim of each peer, by ID.
@@ -89,6 +91,7 @@
         loads: Converts the loads in state messages.
         first_seen: ID of each peer and time in seconds of the first contact
             with it, by the hash of its incarnation.
+        contacts: Which peers answer this instance.
     """
 
     def __init__(
@@ -126,12 +129,13 @@
         self.on_evacuations: Callable[
             [Iterable[entry_pb2.Evacuation], str], None
         ] = lambda evacuations, peer_id: None
-        self.on_change: Callable[[], None] = lambda: None
+        self.on_news: Callable[[], None] = lambda: None
         self.engines_change: Callable[[], int] = lambda: 0
         self.claims: dict[str, Claim] = {}
         self.states: dict[str, entry_pb2.EntryState] = {}
         self.fences: dict[str, int] = {}
         self.first_seen: dict[int, tuple[str, float]] = {}
+        self.contacts = contacts.PeerContacts()
         self._rotation_start = 0
         self.loads = load_codec.LoadCodec(request_relay, fleet)
 
@@ -267,9 +271,14 @@
             )
         for state in status.states:
             self._receive_state(state, state.instance == sender_hash, now)
-        version = self.engines_version()
-        if any(state.engines_change > version for state in status.states):
-            self.on_change()
+        engines_version = self.engines_version()
+        version = self.version()
+        if any(
+            state.engines_change > engines_version
+            or state.configuration_version > version
+            for state in status.states
+        ):
+            self.on_news()
         for healthy in status.healthy:
             self._receive_healthy(healthy, status.sender.id, now)
         if self.fleet.may_be_stale(now):
@@ -305,6 +314,7 @@
                 known_id for known_id in records if not self._is_known(known_id)
             ]:
                 del records[peer_id]
+        self.contacts.keep_only(self.roster.others)
         expired = [
             key
             for key, (peer_id, _) in self.first_seen.items()
@@ -365,51 +375,80 @@
             return 0
         return sum(state.running) + sum(state.engines_running)
 
-    def newer_configuration_peer(self, version: int) -> str | None:
-        """Returns the ID of the live peer with the newest configuration.
-
-        Returns None if no live peer has a newer configuration than `version`.
-        """
-        return self._newest_peer(
-            version, lambda claim: claim.configuration_version
-        )
-
-    def newer_engines_peer(self, version: int) -> str | None:
-        """Returns the ID of the live peer with the newest engine rows.
-
-        Returns None if no live peer has rows newer than `version`.
-        """
-        return self._newest_peer(version, lambda claim: claim.engines_version)
-
     def _is_known(self, peer_id: str) -> bool:
         return peer_id in self.roster.others
 
+    def newest_configuration_version(self) -> int:
+        """Returns the newest configuration of a live peer; 0 for none."""
+        return self._newest(
+            contacts.News.CONFIGURATION,
+            lambda claim: claim.configuration_version,
+        )
+
     def newest_engines_version(self) -> int:
         """Returns the newest version up to which a live peer has read rows.
 
         Returns 0 if there is none.
         """
-        peer_id = self.newer_engines_peer(0)
-        return self.claims[peer_id].engines_version if peer_id else 0
+        return self._newest(
+            contacts.News.ENGINE_ROWS, lambda claim: claim.engines_version
+        )
 
     def newest_engines_change(self) -> int:
         """Returns the version of the newest change that a live peer has read.
 
         Returns 0 if there is none.
         """
-        peer_id = self._newest_peer(0, lambda claim: claim.engines_change)
-        return self.claims[peer_id].engines_change if peer_id else 0
+        return self._newest(
+            contacts.News.ENGINE_ROWS, lambda claim: claim.engines_change
+        )
 
-    def _newest_peer(
-        self, version: int, version_of: Callable[[Claim], int]
-    ) -> str | None:
-        live_ids = {peer.id for peer in self.roster.live(self.clock())}
-        candidates = [
-            (version_of(claim), peer_id)
-            for peer_id, claim in self.claims.items()
-            if peer_id in live_ids and version_of(claim) > version
+    def configuration_holders(self, version: int) -> list[pulls.Holder]:
+        """Returns the live peers that have a configuration or a newer one."""
+        return self._holders(
+            contacts.News.CONFIGURATION,
+            lambda claim: claim.configuration_version >= version,
+        )
+
+    def engines_holders(self, version: int) -> list[pulls.Holder]:
+        """Returns the live peers that have read rows up to a version."""
+        return self._holders(
+            contacts.News.ENGINE_ROWS,
+            lambda claim: claim.engines_version >= version,
+        )
+
+    def _newest(
+        self, news: contacts.News, version_of: Callable[[Claim], int]
+    ) -> int:
+        return max(
+            (version_of(claim) for _, claim in self._live_claims(news)),
+            default=0,
+        )
+
+    def _holders(
+        self, news: contacts.News, has_it: Callable[[Claim], bool]
+    ) -> list[pulls.Holder]:
+        now = self.clock()
+        own_zone = self.roster.own_presence.availability_zone
+        return [
+            pulls.Holder(
+                peer.id,
+                self.contacts.standing(peer.id, now),
+                peer.availability_zone == own_zone,
+            )
+            for peer, claim in self._live_claims(news)
+            if has_it(claim)
         ]
-        return max(candidates)[1] if candidates else None
+
+    def _live_claims(
+        self, news: contacts.News
+    ) -> Iterator[tuple[roster_lib.Presence, Claim]]:
+        """Yields the live peers whose claims count, and their claims."""
+        now = self.clock()
+        for peer in self.roster.live(now):
+            claim = self.claims.get(peer.id)
+            if claim and self.contacts.is_trusted(peer.id, news, now):
+                yield peer, claim
 
     def _own_state(self) -> entry_pb2.EntryState:
         presence = self.roster.own_presence
--- a/tamarackpier/daemon/row_source.py
+++ b/tamarackpier/daemon/row_source.py
@@ -12,17 +12,14 @@
 
 from tamarackpier import codes, logs, metrics
 from tamarackpier.daemon import entry_peers
-from tamarackpier.peer import partners, roster
+from tamarackpier.peer import partners, propagation, pulls, roster
 from tamarackpier.platform import interfaces
 
-__all__ = ["MAX_LAG_S", "STORE", "RowSource"]
+__all__ = ["STORE", "RowSource"]
 
 STORE = "store"  # Source of rows that no peer has passed on.
 
 _MAX_PEER_WAIT_S = 0.7  # A silent peer goes unnoticed no longer than this.
-# Less than half of the time in which an instance must learn that an engine
-# drains.
-MAX_LAG_S = 0.8
 # Age up to which an answer of the followed peer vouches for the configuration;
 # a quiet peer answers after `_MAX_PEER_WAIT_S`.
 _CONFIGURATION_AGE_S = 1.2
@@ -43,9 +40,9 @@
         peers: Client for calls to peers.
         roster: The known instances.
         is_planning: Returns whether this instance plans a zone.
-        own_version: Returns the version up to which this instance has read.
-        newest_version: Returns the version of the newest change that any peer
-            has read.
+        missing: The newest change that a peer has read and this instance has
+            not.
+        times: Returns the limits for the steps of a change.
         metrics: Counts reads by source.
         on_configuration: Called with an encoded configuration, and the ID of
             the peer that has passed it on.
@@ -58,8 +55,8 @@
         peers: entry_peers.EntryPeers,
         instances: roster.Roster,
         is_planning: Callable[[], bool],
-        own_version: Callable[[], int],
-        newest_version: Callable[[], int],
+        missing: pulls.MissingVersion,
+        times: Callable[[], propagation.PropagationTimes],
         counts: metrics.Metrics,
         clock: Callable[[], float],
     ) -> None:
@@ -67,8 +64,8 @@
         self.peers = peers
         self.roster = instances
         self.is_planning = is_planning
-        self.own_version = own_version
-        self.newest_version = newest_version
+        self.missing = missing
+        self.times = times
         self.metrics = counts
         self.clock = clock
         self.on_configuration: Callable[[bytes, str], None] = (
@@ -78,9 +75,6 @@
         self._backoff_until = 0.0
         self._backoff_s = _MIN_PEER_BACKOFF_S
         self._configuration_passed_at = -math.inf
-        # Newest version that peers have and this instance lacks, and the time
-        # since when.
-        self._missing_version: tuple[int, float] | None = None
 
     async def snapshot(
         self, table: str
@@ -167,40 +161,24 @@
         if followed.configuration:
             self.on_configuration(followed.configuration, parent)
 
-    def missing_since(self) -> float | None:
-        """Returns since when a peer has had a change that is missing here.
-
-        Returns:
-            The time in seconds on the monotonic clock; None if none is missing.
-        """
-        if (
-            self._missing_version is not None
-            and self.own_version() >= self._missing_version[0]
-        ):
-            self._missing_version = None
-        if self._missing_version is None:
-            newest_version = self.newest_version()
-            if newest_version > self.own_version():
-                self._missing_version = (newest_version, self.clock())
-        return self._missing_version[1] if self._missing_version else None
+    def _missing_s(self) -> float:
+        """Returns for how long a change that a peer has was missing here."""
+        since = self.missing.since()
+        return 0.0 if since is None else self.clock() - since
 
     def _is_behind(self) -> bool:
         """Returns whether this instance lags behind a peer for too long."""
-        since = self.missing_since()
-        return since is not None and self.clock() - since > MAX_LAG_S
+        return self._missing_s() > self.times().parent_lag_s
 
     def _start_backoff(self, parent: str, reason: str) -> None:
         self._backoff_until = self.clock() + self._backoff_s
         self._backoff_s = min(_MAX_PEER_BACKOFF_S, 2.0 * self._backoff_s)
-        missing_s = 0.0
-        if self._missing_version is not None:
-            missing_s = self.clock() - self._missing_version[1]
         self.metrics.count("rows_peer_failed")
         logs.event(
             "rows from the store",
             peer=parent,
             reason=reason,
-            missing_s=round(missing_s, 3),
+            missing_s=round(self._missing_s(), 3),
         )
 
 
--- a/tests/test_entry_exchange.py
+++ b/tests/test_entry_exchange.py
@@ -19,7 +19,7 @@
     zone_lease,
 )
 from tamarackpier.fleet import departures, fleet_view, model
-from tamarackpier.peer import partners, zone_claims
+from tamarackpier.peer import partners, propagation, pulls, zone_claims
 from tamarackpier.peer import roster as roster_lib
 from tamarackpier.platform import interfaces
 from tamarackpier.traffic import load, rate_limits
@@ -149,10 +149,8 @@
             assert claims.overtime == {"zone-0"}
             assert not claims.leased
             assert claims.fences == {"zone-0": 77}
-            assert (
-                node.statuses.newer_configuration_peer(6)
-                == first.roster.own_presence.id
-            )
+            holders = node.statuses.configuration_holders(7)
+            assert [one.id for one in holders] == [first.roster.own_presence.id]
     first.relay.replica_loads.end(key, 500)
     fleet.run(8)
     for node in fleet.nodes.values():
@@ -440,8 +438,8 @@
         _Peers(answer),
         roster,
         lambda: is_planning,
-        lambda: 5,
-        lambda: newest,
+        pulls.MissingVersion(lambda: newest, lambda: 5, lambda: clock.now),
+        lambda: propagation.create(DRAIN_S),
         metrics.Metrics(),
         lambda: clock.now,
     )
--- a/tests/test_recorded_forms.py
+++ b/tests/test_recorded_forms.py
@@ -33,7 +33,9 @@
     (peer,) = node.roster.live(recorded_forms.NOW)
     assert (peer.id, peer.is_ready) == ("entry-001", True)
     version = recorded_forms.CONFIGURATION_VERSION
-    assert node.statuses.newer_configuration_peer(version - 1) == peer.id
+    holders = node.statuses.configuration_holders(version)
+    assert [one.id for one in holders] == [peer.id]
+    assert node.statuses.newest_configuration_version() == version
     usage = node.relay.replica_loads.usage(recorded_forms.KEY)
     assert (usage.running, usage.reading_tokens) == (
         1,
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -18,6 +18,7 @@
     store_watch,
 )
 from tamarackpier.fleet import fleet_view
+from tamarackpier.peer import contacts, propagation, pulls
 from tamarackpier.platform import interfaces, store, wire
 from tamarackpier.standin import virtual
 from tests import deployment_fixtures, exchange_fixtures, hosted_fixtures
@@ -384,18 +385,25 @@
             version=1, routing=True, from_peer_at=None
         )
         self.fleet = fleet_view.FleetView()
+        self.contacts = contacts.PeerContacts()
+        self.is_loaded = True
 
     @property
     def version(self):
         return self.reader.version
 
-    def newer_configuration_peer(self, version):
-        return None
+    def newest_configuration_version(self):
+        return 0
 
-    def newer_engines_peer(self, version):
-        return "peer" if self.peer.version > version else None
+    def newest_engines_version(self):
+        return self.peer.version
 
-    async def fetch_engines(self, peer_id, version):
+    def engines_holders(self, version):
+        if self.peer.version < version:
+            return []
+        return [pulls.Holder("peer", contacts.Standing.ANSWERS, True)]
+
+    async def fetch_engine_changes(self, peer_id, after, limit_s):
         return failures.failure(codes.PEER_UNAVAILABLE, "not in this test")
 
     async def tick(self):
@@ -407,7 +415,15 @@
             self,
             self.reader.follower,
             exchange_fixtures.table_follower(None, time.monotonic),
+            pulls.MissingVersion(
+                lambda: 0,
+                lambda: self.version,
+                asyncio.get_running_loop().time,
+            ),
             metrics.Metrics(),
+            lambda: propagation.create(CONFIG_APPLY_S),
+            random.Random(1),
+            asyncio.get_running_loop().time,
         )
         while True:
             for here, there in (
