What is missing is looked up once a check

Each check of an instance for news looked through the reports of all live peers up to eight times, four times a second, though nothing had changed. Now once for each kind of news.

--- a/tamarackpier/daemon/catch_up.py
+++ b/tamarackpier/daemon/catch_up.py
@@ -122,16 +122,22 @@
 
     def note_news(self, now: float) -> None:
         """Notes that a peer has something newer, and when to act on it."""
-        self.due_at = min(self.due_at, self._next_due_at(now))
+        due_at = self._next_due_at(
+            self.missing_configuration.since(), self.missing_change.since(), now
+        )
+        self.due_at = min(self.due_at, due_at)
 
     def tick(self, now: float) -> None:
         """Asks peers and renews polls where that is due."""
-        self._pull_configuration(now)
-        self._pull_rows(now)
-        if self._has_lost_call(now):
+        configuration_since = self.missing_configuration.since()
+        rows_since = self.missing_change.since()
+        self._update_peers_ahead(now)
+        self._pull_configuration(configuration_since, now)
+        self._pull_rows(rows_since, now)
+        if self._has_lost_call(rows_since, now):
             self.metrics.count("poll_renewed", "peers are ahead")
             self.follower.renew(was_away=False)
-        if self._has_lost_configuration_call(now):
+        if self._has_lost_configuration_call(configuration_since, now):
             self.metrics.count("poll_renewed", "a peer had the configuration")
             logs.event(
                 "poll renewed",
@@ -140,16 +146,16 @@
                 waited_s=round(self.configuration_follower.waited_s(), 3),
             )
             self.configuration_follower.renew(was_away=False)
-        self.due_at = self._next_due_at(now)
-        self._gauge_lags(now)
+        self.due_at = self._next_due_at(configuration_since, rows_since, now)
+        self._gauge_lag("configuration_missing_s", configuration_since, now)
+        self._gauge_lag("engine_rows_missing_s", rows_since, now)
 
     def close(self) -> None:
         """Gives up all calls to peers."""
         self._configuration_asks.stop()
         self._row_asks.stop()
 
-    def _pull_configuration(self, now: float) -> None:
-        since = self.missing_configuration.since()
+    def _pull_configuration(self, since: float | None, now: float) -> None:
         if since is None:
             self._configuration_asks.stop()
         elif now >= self._configuration_due_at(since):
@@ -160,9 +166,7 @@
                 self.times(),
             )
 
-    def _pull_rows(self, now: float) -> None:
-        since = self.missing_change.since()
-        self._update_peers_ahead(now)
+    def _pull_rows(self, since: float | None, now: float) -> None:
         if since is not None:
             if now - since < self._delivery_s():
                 return
@@ -187,7 +191,12 @@
             and now - self._read_further_at >= _READ_FURTHER_INTERVAL_S
         )
 
-    def _next_due_at(self, now: float) -> float:
+    def _next_due_at(
+        self,
+        configuration_since: float | None,
+        rows_since: float | None,
+        now: float,
+    ) -> float:
         """Returns the time of the next check beside those of each round.
 
         While something is missing, checks follow one another closely: what one
@@ -198,12 +207,13 @@
             missing.
         """
         due_at = math.inf
-        since = self.missing_change.since()
-        if since is not None:
-            due_at = since + self._delivery_s()
-        since = self.missing_configuration.since()
-        if since is not None:
-            due_at = min(due_at, self._configuration_due_at(since))
+        if rows_since is not None:
+            due_at = rows_since + self._delivery_s()
+        if configuration_since is not None:
+            configuration_due_at = self._configuration_due_at(
+                configuration_since
+            )
+            due_at = min(due_at, configuration_due_at)
         return due_at if due_at > now else now + _CHECK_S
 
     def _configuration_due_at(self, since: float) -> float:
@@ -224,10 +234,10 @@
         elif self.peers_ahead_since is None:
             self.peers_ahead_since = now
 
-    def _has_lost_call(self, now: float) -> bool:
+    def _has_lost_call(self, since: float | None, now: float) -> bool:
         """Returns whether the poll in flight is not going to be answered."""
         polled_at = self.follower.polled_at
-        if self._lacks_change(now) and self.follower.is_waiting:
+        if self._lacks_change(since, now) and self.follower.is_waiting:
             return polled_at is not None
         return (
             self.peers_ahead_since is not None
@@ -236,9 +246,8 @@
             and now - polled_at > _LOST_CALL_S
         )
 
-    def _lacks_change(self, now: float) -> bool:
+    def _lacks_change(self, since: float | None, now: float) -> bool:
         """Returns whether a change that a peer has is missing for too long."""
-        since = self.missing_change.since()
         if since is None:
             return False
         limit_s = self.times().parent_lag_s
@@ -246,11 +255,11 @@
             limit_s = self._delivery_s()
         return now - since >= limit_s
 
-    def _has_lost_configuration_call(self, now: float) -> bool:
+    def _has_lost_configuration_call(
+        self, since: float | None, now: float
+    ) -> bool:
         """Returns whether a peer had what the poll in flight has missed."""
-        had_at = self.missing_configuration.since()
-        if had_at is None:
-            had_at = self.configuration.from_peer_at
+        had_at = self.configuration.from_peer_at if since is None else since
         polled_at = self.configuration_follower.polled_at
         return (
             had_at is not None
@@ -306,13 +315,7 @@
         if followed.configuration:
             self.configuration.apply(followed.configuration, f"peer {peer_id}")
 
-    def _gauge_lags(self, now: float) -> None:
-        """Sets for how long what peers have has been missing here."""
-        for name, missing in (
-            ("configuration_missing_s", self.missing_configuration),
-            ("engine_rows_missing_s", self.missing_change),
-        ):
-            since = missing.since()
-            self.metrics.gauge(
-                name, 0.0 if since is None else round(now - since, 3)
-            )
+    def _gauge_lag(self, name: str, since: float | None, now: float) -> None:
+        """Sets for how long what a peer has has been missing here."""
+        lag_s = 0.0 if since is None else round(now - since, 3)
+        self.metrics.gauge(name, lag_s)
--- a/tamarackpier/daemon/peer_status.py
+++ b/tamarackpier/daemon/peer_status.py
@@ -450,9 +450,10 @@
     ) -> Iterator[tuple[roster_lib.Presence, Claim]]:
         """Yields the live peers whose claims count, and their claims."""
         now = self.clock()
+        distrusted = self.contacts.distrusted(news, now)
         for peer in self.roster.live(now):
             claim = self.claims.get(peer.id)
-            if claim and self.contacts.is_trusted(peer.id, news, now):
+            if claim is not None and peer.id not in distrusted:
                 yield peer, claim
 
     def _own_state(self) -> entry_pb2.EntryState:
--- a/tamarackpier/peer/contacts.py
+++ b/tamarackpier/peer/contacts.py
@@ -76,9 +76,13 @@
         """Records that a peer did not have what it reported."""
         self.distrusted_until[news][peer_id] = now + _DISTRUST_S
 
-    def is_trusted(self, peer_id: str, news: News, now: float) -> bool:
-        """Returns whether the reports of a peer count."""
-        return now >= self.distrusted_until[news].get(peer_id, -math.inf)
+    def distrusted(self, news: News, now: float) -> set[str]:
+        """Returns the IDs of the peers whose reports don't count now."""
+        return {
+            peer_id
+            for peer_id, until in self.distrusted_until[news].items()
+            if now < until
+        }
 
     def standing(self, peer_id: str, now: float) -> Standing:
         """Returns whether a peer answers this instance."""
@@ -96,5 +100,5 @@
             self.unanswered_since,
             *self.distrusted_until.values(),
         ):
-            for peer_id in records.keys() - set(peer_ids):
+            for peer_id in [one for one in records if one not in peer_ids]:
                 del records[peer_id]
--- a/tests/test_pulls.py
+++ b/tests/test_pulls.py
@@ -144,6 +144,6 @@
 def test_distrust_ends_and_counts_for_one_kind_of_news():
     peers = contacts.PeerContacts()
     peers.distrust("p", contacts.News.CONFIGURATION, 1.0)
-    assert not peers.is_trusted("p", contacts.News.CONFIGURATION, 2.0)
-    assert peers.is_trusted("p", contacts.News.ENGINE_ROWS, 2.0)
-    assert peers.is_trusted("p", contacts.News.CONFIGURATION, 9.0)
+    assert peers.distrusted(contacts.News.CONFIGURATION, 2.0) == {"p"}
+    assert not peers.distrusted(contacts.News.ENGINE_ROWS, 2.0)
+    assert not peers.distrusted(contacts.News.CONFIGURATION, 9.0)
