--- a/tests/fleet_soak.py
+++ b/tests/fleet_soak.py
@@ -9,6 +9,7 @@
 import argparse
 import contextlib
 import dataclasses
+import random
 
 from tamarackpier import quarantine
 from tamarackpier.fleet import departures
@@ -70,17 +71,32 @@
     return fleet
 
 
-def play(count, seed, rounds=6):
+def play(count, seed, rounds=6, loses_links=False):
     """Plays random outages, each with changes after it.
 
+    Args:
+        count: Number of instances.
+        seed: Seed of the run.
+        rounds: Number of outages.
+        loses_links: Whether in each round some instances lose their links to
+            others, or some stand still from the change on.
+
     Returns:
         The changes that took effect late, and the longest lag in seconds.
     """
     late = []
     longest_s = 0.0
     with contextlib.closing(create_fleet(count, seed, rounds)) as fleet:
+        harm_rng = random.Random(seed)
         for index in range(rounds):
-            one = _play_round(fleet, seed, f"o{index}")
+            harm = None
+            if loses_links:
+                harm = PeerTrouble(
+                    harm_rng.choice((0.0, 0.25, 0.5)),
+                    harm_rng.random() < 0.5,
+                    harm_rng.random() < 0.5,
+                )
+            one = _play_round(fleet, seed, f"o{index}", harm)
             longest_s = max(longest_s, one.lag_s)
             if one.lag_s > fleet.bound_s:
                 late.append(one)
@@ -110,11 +126,13 @@
             their links to the instances without the store are lost before.
         is_random: Whether they are chosen at random. If not, they have the
             highest IDs.
+        zone: Zone that none of them is outside of; empty for any.
     """
 
     share: float
     stands_still: bool
     is_random: bool = False
+    zone: str = ""
 
     def choose(self, fleet, met):
         """Returns the IDs of the peers that can't be reached.
@@ -124,7 +142,9 @@
             met: IDs of the instances without the store.
         """
         others = sorted(set(fleet.ids()) - set(met))
-        count = max(1, round(self.share * len(others)))
+        if self.zone:
+            others = zone_ids(fleet, self.zone)
+        count = min(len(others), max(1, round(self.share * len(others))))
         if self.is_random:
             return fleet.rng.sample(others, count)
         return others[-count:]
@@ -140,6 +160,8 @@
     "a quarter stands still": PeerTrouble(0.25, True, True),
     "half stand still": PeerTrouble(0.5, True, True),
     "the highest half stands still": PeerTrouble(0.5, True),
+    "links to a zone lost": PeerTrouble(1.0, False, zone="zone-2"),
+    "a zone stands still": PeerTrouble(1.0, True, zone="zone-2"),
 }
 
 
@@ -325,12 +347,15 @@
     return round(fleet.loop.time() - began_at, 2)
 
 
-def _play_round(fleet, seed, engine):
+def _play_round(fleet, seed, engine, harm=None):
     rng = fleet.rng
     share = rng.choice(_SHARES)
     outage = rng.choice(virtual_fleet.ALL_OUTAGES)
     longest_outage_s = rng.choice(_OUTAGES_S)
     met = fleet.ids(share)
+    unreachable = harm.choose(fleet, met) if harm else []
+    if harm and not harm.stands_still:
+        _lose_links(fleet, met, unreachable)
     fleet.wait(rng.uniform(0.0, 3.0))
     began_at = fleet.loop.time()
     fleet.store.begin_outage(met, outage)
@@ -349,6 +374,9 @@
         fleet.drop_engine(engine)
     if "configured" in change:
         fleet.configure()
+    if harm and harm.stands_still:
+        fleet.wait(STILL_AFTER_S)
+        fleet.stand_still(unreachable)
     name = engine if change != "configured" else ""
     version = fleet.version
     lag_s, instances = 0.0, ()
@@ -358,6 +386,9 @@
         if lag_s > 30.0:
             break
         fleet.wait(0.02)
+    fleet.has_link = lambda caller_id, callee_id: True
+    if harm and harm.stands_still:
+        fleet.go_on()
     return Late(
         seed,
         outage,
@@ -383,14 +414,16 @@
             print(count, seed, outage, "LATE" if late else "", lags, flush=True)
 
 
-def _print_troubles(count, seed, latency_s):
+def _print_troubles(count, seed, evacuate_s, latency_s):
     """Prints the lags where a zone has neither the store nor some peers."""
     for name, trouble in PEER_TROUBLES.items():
         for outage in (
             virtual_fleet.Outage.REFUSES,
             virtual_fleet.Outage.SILENT,
         ):
-            with contextlib.closing(create_fleet(count, seed)) as fleet:
+            with contextlib.closing(
+                create_fleet(count, seed, evacuate_s=evacuate_s)
+            ) as fleet:
                 if latency_s:
                     slow_down(fleet, latency_s)
                 met = zone_ids(fleet, "zone-1")
@@ -427,6 +460,11 @@
         help="measure the same for a zone without the store that can't reach"
         " some of its peers",
     )
+    parser.add_argument(
+        "--lost-links",
+        action="store_true",
+        help="lose links and let peers stand still in the random outages",
+    )
     parser.add_argument(
         "--latency",
         type=float,
@@ -441,8 +479,11 @@
             _print_spread(arguments.count, seed, evacuate_s, arguments.latency)
         return
     if arguments.peers:
+        evacuate_s = EVACUATE_S if arguments.evacuate else 0.0
         for seed in range(*arguments.seeds):
-            _print_troubles(arguments.count, seed, arguments.latency)
+            _print_troubles(
+                arguments.count, seed, evacuate_s, arguments.latency
+            )
         return
     if arguments.evacuate:
         for seed in range(*arguments.seeds):
@@ -453,7 +494,9 @@
     late_count = 0
     longest_s = 0.0
     for seed in range(*arguments.seeds):
-        late, lag_s = play(arguments.count, seed, arguments.rounds)
+        late, lag_s = play(
+            arguments.count, seed, arguments.rounds, arguments.lost_links
+        )
         longest_s = max(longest_s, lag_s)
         late_count += len(late)
         for one in late:
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -49,8 +49,7 @@
         fleet.wait(fleet.bound_s)
         assert alone.is_ready
         assert not any(one.relay.may_be_outdated() for one in others)
-        fleet.still = frozenset()
-        fleet.store.end_outage([alone_id])
+        fleet.go_on()
         fleet.until(lambda: not alone.relay.may_be_outdated(), 5.0)
         assert alone.configuration.version == fleet.version
 
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -319,6 +319,11 @@
         self.still = frozenset(ids)
         self.store.begin_outage(ids, Outage.SILENT)
 
+    def go_on(self):
+        """Lets the instances that stand still go on."""
+        self.store.end_outage(self.still)
+        self.still = frozenset()
+
     def moving(self):
         """Returns the instances that don't stand still."""
         return [
@@ -396,7 +401,7 @@
         """
         return [
             instance
-            for instance in self.instances
+            for instance in self.moving()
             if instance.configuration.version < version
             or (
                 name in instance.fleet.engines
