A long bound is no reason to pull a missing change later

Delivery is waited for 0.6 s at most, an answer 0.3 s; for bounds up to 4 s the limits are the same numbers as before. test_a_long_bound_is_no_reason_to_ask_peers_later failed before.

--- a/tamarackpier/peer/propagation.py
+++ b/tamarackpier/peer/propagation.py
@@ -22,6 +22,9 @@
 # Number of peers that are asked, one after the other, in the share for pulls.
 _ASKED_PEERS = 4
 _PARENT_LAG_SHARE = 0.4
+# Callers gain nothing by a longer wait where the bound is long.
+_MAX_DELIVERY_S = 0.6
+_MAX_ASK_INTERVAL_S = 0.3
 _MAX_PARENT_LAG_S = 0.8
 
 
@@ -67,7 +70,7 @@
     return PropagationTimes(
         bound_s,
         _ANNOUNCE_SHARE * bound_s,
-        _DELIVERY_SHARE * bound_s,
-        _PULL_SHARE * bound_s / _ASKED_PEERS,
+        min(_MAX_DELIVERY_S, _DELIVERY_SHARE * bound_s),
+        min(_MAX_ASK_INTERVAL_S, _PULL_SHARE * bound_s / _ASKED_PEERS),
         min(_MAX_PARENT_LAG_S, _PARENT_LAG_SHARE * bound_s),
     )
--- a/tests/test_pulls.py
+++ b/tests/test_pulls.py
@@ -102,6 +102,14 @@
         assert 0.0 < times.ask_interval_s < times.delivery_s
 
 
+def test_a_long_bound_is_no_reason_to_ask_peers_later():
+    longest = propagation.create(30.0)
+    usual = propagation.create(4.0)
+    assert longest.delivery_s == usual.delivery_s
+    assert longest.ask_interval_s == usual.ask_interval_s
+    assert longest.parent_lag_s == usual.parent_lag_s
+
+
 def test_what_no_live_peer_has_any_more_is_not_missing():
     newest, own = [9], [5]
     missing = pulls.MissingVersion(
