--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -26,9 +26,18 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CONTRACTS = (
-    "base,drain,config,cost,retry,recover,engine,stream,tenants,platform,gangs"
-)
+# Settings of the machines of the two sites whose clients may read slowly: the
+# least memory that they have, and their contracts.
+PADMA = {
+    "memory_mb": 440,
+    "contracts": "base,drain,config,cost,retry,recover,health,pool,engine,"
+    "stream,tenants,platform,gangs",
+}
+RUEDAS = {
+    "memory_mb": 200,
+    "contracts": "base,drain,config,cost,retry,recover,health,pool,engine,"
+    "stream,tenants,places,pressure,platform,gangs",
+}
 GRACE_S = 8
 HOST = "a.example"
 KEY = "key-1"
@@ -168,8 +177,8 @@
 availability_zone = {self.zone}
 region = region-1
 ip = {self.ip}
-memory_mb = {self.settings.get("memory_mb", 300)}
-contracts = {self.settings.get("contracts", CONTRACTS)}
+memory_mb = {self.settings["memory_mb"]}
+contracts = {self.settings["contracts"]}
 [listen]
 callers = {self.ip}:{port}
 readiness = {self.ip}:{port + 1}
@@ -234,7 +243,7 @@
         record: What was seen.
     """
 
-    def __init__(self, platform, folder, record, count, settings=None):
+    def __init__(self, platform, folder, record, count, settings):
         self.platform = platform
         self.folder = folder
         self.record = record
@@ -245,7 +254,7 @@
                 first_port,
                 folder,
                 platform.address,
-                settings or {},
+                settings,
             )
             for index in range(count)
         ]
