--- a/review/streams_2.py
+++ b/review/streams_2.py
@@ -88,6 +88,7 @@
                 )
                 for number in range(first, events + 1):
                     await asyncio.sleep(shape.interval_s)
+                    await self.platform.wait_while_silent(self.name)
                     while engine.stalled_at is not None or not engine.is_alive:
                         await asyncio.sleep(shape.interval_s)
                         present = self.platform.fabric.engines[self.name]
@@ -116,14 +117,18 @@
     return platform
 
 
-async def start(platform, deployment, engines=9):
+async def start(platform, deployment, engines=9, **changes):
     """Starts a deployment with two groups of engines that serve."""
     await platform.start()
     for index in range(engines):
         await platform.add_engine(f"e{index}", "drafts", "zone-0", "d0")
     platform.configure(
         harness.configuration(
-            [harness.route(routing_model.RouteKind.STREAM, PREFIX, "drafts")],
+            [
+                harness.route(
+                    routing_model.RouteKind.STREAM, PREFIX, "drafts", **changes
+                )
+            ],
             [routing_model.ServiceSpec("drafts", platform.fabric.spec)],
         )
     )
